Start nothing while what forbids it hasn't been read lately

Cause: an owner decided starts from whatever it had read last, however old.

A start now needs the unit read within the bound on cancellations, the registry within that on draining and the configuration within that on evacuations, each less 600 ms for the start itself. Ages are measured on the boot clock; they were measured by the time of day, which a clock that is set falsifies.

The test fails without the check: starts go on 3.6 s after a cancellation.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -95,7 +95,7 @@
 // New returns a daemon that Run starts.
 func New(s Settings, ports Ports, logger *zap.Logger) *Daemon {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
-	view := fleetview.New(ports.Decoders, logger)
+	view := fleetview.New(ports.Decoders, ports.Clock, logger)
 	incarnation := strconv.FormatInt(time.Now().UnixMilli(), 36)
 	member := ownership.New(ports.Log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, ports.Clock, logger)
 	return &Daemon{
@@ -144,6 +144,7 @@
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Harm: millis(b.HarmMS), Notice: millis(b.NoticeMS),
+			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
 		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: of, Used: d.pools.Used,
 		Holds: d.member.Holds, Forget: d.member.Forget,
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/beryltide/beryltide/internal/owner"
 )
 
 // Settings are a daemon's, as its file gives them.
@@ -56,6 +58,12 @@
 	MoveS         float64 `json:"move_s"`
 	MaintenanceS  float64 `json:"maintenance_s"`
 	DutyLeaseMS   int64   `json:"duty_lease_ms"`
+	// CancelMS, DrainMS and EvacuateMS are after how long nothing may start of a
+	// job that was cancelled, at an instance that leaves, in a data centre that
+	// was taken out.
+	CancelMS   int64 `json:"cancel_ms"`
+	DrainMS    int64 `json:"drain_ms"`
+	EvacuateMS int64 `json:"evacuate_ms"`
 }
 
 // Grace is how long the process has from the signal to stop to its end.
@@ -98,5 +106,15 @@
 	case s.Bounds.GraceS <= 0:
 		return errors.Errorf("bounds.grace_s: %v, want more than 0", s.Bounds.GraceS)
 	}
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{
+		{"cancel_ms", s.Bounds.CancelMS}, {"drain_ms", s.Bounds.DrainMS}, {"evacuate_ms", s.Bounds.EvacuateMS},
+	} {
+		if bound := millis(f.value); bound < owner.ShortestBound {
+			return errors.Errorf("bounds.%s: %d, want at least %d", f.name, f.value, owner.ShortestBound.Milliseconds())
+		}
+	}
 	return nil
 }
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/store"
@@ -21,26 +22,33 @@
 	Registration func(id string, value []byte) (instance.Registration, error)
 }
 
+// never is when what hasn't been read yet was found current.
+const never = -24 * time.Hour
+
 // Instances is a snapshot of the registry.
 type Instances map[string]instance.Registration
 
 // View holds the newest snapshots.
 type View struct {
 	decode Decoders
+	clock  bootclock.Clock
 	logger *zap.Logger
 
 	mu        sync.Mutex
 	catalog   atomic.Pointer[catalog.Catalog]
 	duties    atomic.Pointer[catalog.Duties]
 	instances atomic.Pointer[Instances]
-	// registryAt and configurationAt are when they were last found current.
+	// registryAt and configurationAt are when they were last found current, on
+	// the boot clock: a time of day that is set would falsify their ages.
 	registryAt      atomic.Int64
 	configurationAt atomic.Int64
 }
 
 // New returns a view that knows nothing.
-func New(decode Decoders, logger *zap.Logger) *View {
-	v := &View{decode: decode, logger: logger}
+func New(decode Decoders, clock bootclock.Clock, logger *zap.Logger) *View {
+	v := &View{decode: decode, clock: clock, logger: logger}
+	v.registryAt.Store(int64(never))
+	v.configurationAt.Store(int64(never))
 	v.duties.Store(&catalog.Duties{Out: map[string]bool{}, Waves: map[int64]catalog.Wave{}})
 	v.instances.Store(&Instances{})
 	return v
@@ -56,20 +64,18 @@
 func (v *View) Instances() Instances { return *v.instances.Load() }
 
 // ConfirmConfiguration notes that the configuration is current.
-func (v *View) ConfirmConfiguration() { v.configurationAt.Store(time.Now().UnixMilli()) }
+func (v *View) ConfirmConfiguration() { v.configurationAt.Store(int64(v.clock())) }
 
 // ConfirmRegistry notes that the registry is current.
-func (v *View) ConfirmRegistry() { v.registryAt.Store(time.Now().UnixMilli()) }
+func (v *View) ConfirmRegistry() { v.registryAt.Store(int64(v.clock())) }
 
 // ConfigurationAge tells how long ago the configuration was found current.
-func (v *View) ConfigurationAge() time.Duration { return age(&v.configurationAt) }
+func (v *View) ConfigurationAge() time.Duration { return v.age(&v.configurationAt) }
 
 // RegistryAge tells how long ago the registry was found current.
-func (v *View) RegistryAge() time.Duration { return age(&v.registryAt) }
+func (v *View) RegistryAge() time.Duration { return v.age(&v.registryAt) }
 
-func age(at *atomic.Int64) time.Duration {
-	return time.Duration(time.Now().UnixMilli()-at.Load()) * time.Millisecond
-}
+func (v *View) age(at *atomic.Int64) time.Duration { return v.clock() - time.Duration(at.Load()) }
 
 // ResetOperator takes all newest records of the operators' topic.
 func (v *View) ResetOperator(records []store.Record) {
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -130,7 +130,7 @@
 			return catalog.OperatorRecord{Wave: wave}, nil
 		}
 		return catalog.OperatorRecord{Catalog: c}, nil
-	}}, zap.NewNop())
+	}}, func() time.Duration { return 0 }, zap.NewNop())
 	v.ResetOperator([]store.Record{{Key: "config"}, {Key: "wave"}})
 	return v
 }
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/ownership"
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/store"
 )
 
@@ -26,6 +27,12 @@
 	testTeam  = "vets"
 	testUnit  = 1
 	maxLease  = 10 * time.Second
+
+	cancelBound   = 3 * time.Second
+	drainBound    = 2 * time.Second
+	evacuateBound = 5 * time.Second
+	// confirmEvery is how often a daemon finds its view of the fleet current.
+	confirmEvery = 400 * time.Millisecond
 )
 
 // world is a store, a few instances, and the owners that work on them.
@@ -78,17 +85,29 @@
 	d := &daemon{world: w, log: w.store.Client(), held: true, cutOff: map[string]bool{}, view: w.view()}
 	deps := Deps{
 		Log: d.log, Instances: d, Advisor: d, View: d.view, Clock: w.clock,
-		Bounds: Bounds{MaxLease: maxLease, StatusKept: time.Minute},
+		Bounds: Bounds{MaxLease: maxLease, StatusKept: time.Minute, Cancel: cancelBound, Drain: drainBound, Evacuate: evacuateBound},
 		Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope),
 		UnitOf: func(string) int { return testUnit }, Used: func(int) bool { return true },
 		Holds:  func(ownership.Tenure) bool { return d.holds() },
 		Forget: func(ownership.Tenure) { d.setHeld(false) },
 	}
 	d.unit = New(w.ctx, deps, ownership.Tenure{Unit: testUnit, Epoch: epoch})
+	go d.confirmView()
 	go d.unit.Run()
 	return d
 }
 
+// confirmView finds the daemon's view current as long as the store serves reads.
+func (d *daemon) confirmView() {
+	for d.world.ctx.Err() == nil {
+		if _, err := d.log.Read(d.world.ctx, "registry", 0, 0, 0); err == nil {
+			d.view.ConfirmRegistry()
+			d.view.ConfirmConfiguration()
+		}
+		pause.For(d.world.ctx, confirmEvery)
+	}
+}
+
 func (d *daemon) holds() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -127,7 +146,7 @@
 			err := json.Unmarshal(value, &r)
 			return r, err
 		},
-	}, zap.NewNop())
+	}, w.clock, zap.NewNop())
 	v.ResetOperator([]store.Record{{Key: "config", Value: []byte{1}}})
 	v.ResetRegistry(w.registrations())
 	return v
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -17,7 +17,7 @@
 		return
 	}
 	now := time.Now()
-	if u.planDue && now.Sub(u.lastRound) >= minRound && u.holds() {
+	if u.planDue && now.Sub(u.lastRound) >= minRound && u.holds() && u.upToDate() {
 		u.planDue = false
 		u.lastRound = now
 		u.plan(now)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -44,6 +44,7 @@
 	u.load(records, now)
 	u.loaded = true
 	u.followed = from
+	u.readAt = u.Clock()
 	u.syncAgents(now)
 	u.adoptPlaced()
 	u.planDue = true
@@ -149,7 +150,13 @@
 		}
 		down = false
 		from = batch.Next
-		u.post(func() { u.onRecords(batch.Records, batch.Next) })
+		at := u.Clock()
+		u.post(func() {
+			u.onRecords(batch.Records, batch.Next)
+			if batch.Next >= batch.End {
+				u.readAt = at
+			}
+		})
 	}
 }
 
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -53,6 +53,11 @@
 	Harm time.Duration
 	// Notice is for how long a lasting task counts as away after it was.
 	Notice time.Duration
+	// Cancel, Drain and Evacuate are after how long nothing may start of a job
+	// that was cancelled, at an instance that leaves, in a data centre taken out.
+	Cancel   time.Duration
+	Drain    time.Duration
+	Evacuate time.Duration
 }
 
 // Deps are the ports and views of a unit.
@@ -93,7 +98,12 @@
 	early  map[string]bool
 	loaded bool
 	// followed is the offset up to which records have been merged.
-	followed  int64
+	followed int64
+	// readAt is when the unit was last known to be read to its end, on the boot
+	// clock.
+	readAt time.Duration
+	// stale names what was too old for starts when that was last looked at.
+	stale     string
 	catchUp   catchUp
 	takenOver time.Duration
 
