Send a round's orders to machines together

Cause: the lead recorded and sent each order by itself, 12 ms each, and asked for each release in turn.

All orders of a round are now recorded in one append and sent four at a time, paced to nine tenths of what the platform takes (the setting was there, unused).

The test fails with one order at a time: 60 orders of 40 ms don't go out within the platform's rate and a second.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/fleetview"
@@ -50,6 +51,11 @@
 	ageInterval = time.Second
 	// leadCheck is how often a unit's owner looks whether it leads the fleet.
 	leadCheck = 100 * time.Millisecond
+	// orderShare of the orders to machines that the platform takes a second are
+	// sent; the rest are for a lead's last orders beside its successor's first.
+	orderShare = 0.9
+	// orderBurst are sent without pacing.
+	orderBurst = 8
 	// Defaults for callers' connections until the configuration names its own.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
@@ -165,6 +171,7 @@
 		c := &maintenance.Controller{
 			Log: d.ports.Log, Machines: d.ports.Machines, Releaser: release, View: d.view, Clock: d.ports.Clock,
 			Logger: d.logger, Tenure: t, Holds: d.member.HoldsWithin, Name: d.settings.Instance,
+			Pace:        rate.NewLimiter(rate.Limit(orderShare*d.settings.DutiesPerSecond), orderBurst),
 			Handover:    maintenance.OrderGrace + millis(d.settings.Bounds.DutyLeaseMS),
 			Duration:    seconds(d.settings.Bounds.MaintenanceS),
 			StatusTopic: d.ports.StatusTopic, Status: d.ports.WaveStatus,
--- a/internal/fleetd/documented_test.go
+++ b/internal/fleetd/documented_test.go
@@ -33,7 +33,7 @@
 }
 
 const settings = `{"instance":"a","data_centre":"z","callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
-"operations":"127.0.0.1:4","store":"127.0.0.1:5","machines":"127.0.0.1:6","advisor":"","units":24,"processor_share":0.4,"memory_mb":284,
+"operations":"127.0.0.1:4","store":"127.0.0.1:5","machines":"127.0.0.1:6","advisor":"","units":24,"processor_share":0.4,"duties_per_second":64,"memory_mb":284,
 "bounds":{"max_lease_ms":10000,"grace_s":6,"cancel_ms":3000,"drain_ms":2000,"evacuate_ms":5000}}`
 
 func TestSettingsNameTheWrongField(t *testing.T) {
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -99,6 +99,8 @@
 		return errors.Errorf("units: %d, want at least 1", s.Units)
 	case s.MemoryMB < 1:
 		return errors.Errorf("memory_mb: %d, want at least 1", s.MemoryMB)
+	case s.DutiesPerSecond <= 0:
+		return errors.Errorf("duties_per_second: %v, want more than 0", s.DutiesPerSecond)
 	case s.ProcessorShare <= 0:
 		return errors.Errorf("processor_share: %v, want more than 0", s.ProcessorShare)
 	case s.Bounds.MaxLeaseMS < 1:
--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/catalog"
@@ -75,6 +76,8 @@
 	// Handover is how long a new holder leaves alone the machines to which a
 	// former one gave its last orders.
 	Handover time.Duration
+	// Pace bounds the orders a second that the platform takes.
+	Pace *rate.Limiter
 	// Duration is how long the platform's maintenance takes.
 	Duration time.Duration
 	// StatusTopic and Status tell operators how a wave stands.
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/fleetview"
@@ -28,6 +29,8 @@
 	handover    = 4 * time.Second
 	maintenance = 2 * time.Second
 	atOnce      = 3
+	// dutiesPerSecond is what the platform takes at the users' sites.
+	dutiesPerSecond = 64
 )
 
 // fakeMachines are machines that a wave takes down, and what was ordered.
@@ -37,7 +40,9 @@
 	begun    map[string]bool
 	orders   map[string][]fakeOrder
 	// lost holds the machines whose next order is lost.
-	lost     map[string]bool
+	lost map[string]bool
+	// takes is how long an order takes.
+	takes    time.Duration
 	down     int
 	mostDown int
 }
@@ -48,7 +53,7 @@
 }
 
 func newFakeMachines(count int) *fakeMachines {
-	f := &fakeMachines{machines: map[string]machine.Machine{}, begun: map[string]bool{}, orders: map[string][]fakeOrder{}}
+	f := &fakeMachines{takes: time.Millisecond, machines: map[string]machine.Machine{}, begun: map[string]bool{}, orders: map[string][]fakeOrder{}}
 	for i := range count {
 		name := fmt.Sprintf("m%02d", i)
 		f.machines[name] = machine.Machine{Name: name, Pool: "p", State: machine.Up, Instance: "i-" + name, Capacity: job.Resources{CPU: 1000}}
@@ -66,7 +71,7 @@
 func (f *fakeMachines) Move(context.Context, machine.Holder, string, string) error { return nil }
 
 func (f *fakeMachines) Maintain(_ context.Context, by machine.Holder, name string, _ int64) error {
-	time.Sleep(time.Millisecond)
+	time.Sleep(f.takes)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders[name] = append(f.orders[name], fakeOrder{by: by, at: time.Now()})
@@ -113,6 +118,7 @@
 		Log: s.Client(), Machines: f, Releaser: fakeOwners{}, View: view, Clock: func() time.Duration { return time.Since(began) },
 		Logger: zap.NewNop(), Tenure: ownership.Tenure{Epoch: epoch}, Name: fmt.Sprint("holder-", epoch),
 		Holds:    func(ownership.Tenure, time.Duration) bool { return ctx.Err() == nil },
+		Pace:     rate.NewLimiter(dutiesPerSecond, 1),
 		Handover: handover, Duration: maintenance, StatusTopic: "keyed.status",
 		Status: func(wave int64, completed bool) (string, []byte) {
 			return fmt.Sprint("wave/", wave), []byte(fmt.Sprint(completed))
@@ -121,9 +127,9 @@
 	go c.Run(ctx)
 }
 
-func waveView(f *fakeMachines) *fleetview.View {
+func waveView(f *fakeMachines, pool *catalog.Pool, atOnce int) *fleetview.View {
 	c := catalog.New(1)
-	c.Pools["p"] = &catalog.Pool{Name: "p"}
+	c.Pools["p"] = pool
 	wave := &catalog.Wave{Number: 1, Machines: slices.Sorted(maps.Keys(f.machines)), Duration: time.Minute, AtOnce: atOnce}
 	v := fleetview.New(fleetview.Decoders{Operator: func(key string, _ []byte) (catalog.OperatorRecord, error) {
 		if key == "wave" {
@@ -141,7 +147,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s, f := memstore.New(1), newFakeMachines(16)
-		view := waveView(f)
+		view := waveView(f, &catalog.Pool{Name: "p"}, atOnce)
 		end := context.CancelFunc(func() {})
 		for epoch := int64(1); epoch <= 12; epoch++ {
 			end()
@@ -175,7 +181,7 @@
 		s, f := memstore.New(1), newFakeMachines(3)
 		f.lost = map[string]bool{"m00": true, "m01": true}
 		ctx, end := context.WithCancel(context.Background())
-		hold(ctx, s, f, waveView(f), 1)
+		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
 		time.Sleep(30 * time.Second)
 		end()
 		time.Sleep(time.Minute)
@@ -186,3 +192,28 @@
 		is.Equal(string(page.Records[0].Value), "true")
 	})
 }
+
+// A wave of many idle machines begins as fast as the platform takes orders, not
+// one answer after the other.
+func TestAWavesOrdersGoOutTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const machines = 60
+		s, f := memstore.New(1), newFakeMachines(machines)
+		f.takes = 40 * time.Millisecond
+		ctx, end := context.WithCancel(context.Background())
+		begin := time.Now()
+		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p", Spare: true}, machines), 1)
+		time.Sleep(20 * time.Second)
+		end()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(f.begun), machines)
+		// The platform's rate, and a second for the list and the first round.
+		bound := time.Second + machines*time.Second/dutiesPerSecond
+		for _, orders := range f.orders {
+			is.Equal(len(orders), 1)
+			is.True(orders[0].at.Sub(begin) < bound)
+		}
+	})
+}
--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -24,21 +24,40 @@
 
 // rebalance moves machines to where work waits, and back.
 func (c *Controller) rebalance(ctx context.Context, configuration *catalog.Catalog) {
-	s := c.moveSnapshot(configuration)
-	var ready []rebalance.Move
-	var names []string
-	for _, m := range rebalance.Plan(s) {
-		if m.From == s.Spare || c.released(ctx, m) {
+	moves := c.possible(ctx, rebalance.Plan(c.moveSnapshot(configuration)))
+	orders := make([]order, len(moves))
+	for n, m := range moves {
+		orders[n] = order{machine: m.Machine, call: func(ctx context.Context, by machine.Holder) error {
+			return c.Machines.Move(ctx, by, m.Machine, m.To)
+		}}
+	}
+	for n, err := range c.send(ctx, orders) {
+		c.noteMoved(moves[n], err)
+	}
+}
+
+// possible returns the moves of machines that carry nothing.
+func (c *Controller) possible(ctx context.Context, moves []rebalance.Move) []rebalance.Move {
+	var ready, occupied []rebalance.Move
+	var asked []machine.Machine
+	for _, m := range moves {
+		if m.Instance == "" {
 			ready = append(ready, m)
-			names = append(names, m.Machine)
+			continue
 		}
+		occupied = append(occupied, m)
+		asked = append(asked, machine.Machine{Name: m.Machine, Pool: m.From, Instance: m.Instance})
 	}
-	if len(ready) == 0 || !c.intend(ctx, names...) {
-		return
+	empty := map[string]bool{}
+	for _, m := range c.released(ctx, asked) {
+		empty[m.Name] = true
 	}
-	for _, m := range ready {
-		c.move(ctx, m)
+	for _, m := range occupied {
+		if empty[m.Machine] {
+			ready = append(ready, m)
+		}
 	}
+	return ready
 }
 
 func (c *Controller) moveSnapshot(configuration *catalog.Catalog) rebalance.Snapshot {
@@ -90,21 +109,7 @@
 	return base
 }
 
-// released says whether the instance on a machine is empty and stays so.
-func (c *Controller) released(ctx context.Context, m rebalance.Move) bool {
-	empty, err := c.Releaser.Release(ctx, m.From, m.Instance)
-	if err != nil {
-		c.Logger.Debug("move.not_released", zap.String("instance", m.Instance), zap.Error(err))
-	}
-	return err == nil && empty
-}
-
-// move orders a machine to a pool.
-func (c *Controller) move(ctx context.Context, m rebalance.Move) {
-	if !c.Holds(c.Tenure, OrderGrace) {
-		return
-	}
-	err := c.Machines.Move(ctx, machine.Holder{Name: c.Name, Fence: c.Tenure.Epoch}, m.Machine, m.To)
+func (c *Controller) noteMoved(m rebalance.Move, err error) {
 	d := c.demand[m.To]
 	c.Logger.Info("machine.move", zap.String("machine", m.Machine), zap.String("instance", m.Instance), zap.String("from", m.From), zap.String("to", m.To),
 		zap.Int("waiting_cpu", d.WaitingCPU), zap.Int("free_cpu", d.FreeCPU), zap.Float64("waiting_work", d.WaitingWork), zap.Error(err))
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -68,11 +68,7 @@
 		p.stages[name] = Emptying
 		c.Logger.Info("maintenance.begin", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.String("instance", c.listed[name].Instance), zap.String("pool", c.listed[name].Pool))
 	}
-	for name, stage := range p.stages {
-		if stage == Emptying {
-			c.empty(ctx, wave, p, name)
-		}
-	}
+	c.orderDown(ctx, wave, p, c.emptied(ctx, p))
 	c.finish(ctx, wave, p)
 }
 
@@ -140,36 +136,42 @@
 	return s
 }
 
-// empty asks for the release of a machine's instance, and orders the machine
-// down once it is empty.
-func (c *Controller) empty(ctx context.Context, wave catalog.Wave, p *progress, name string) {
-	m := c.listed[name]
-	if c.untouchable(name) {
-		return
-	}
+// emptied asks for the release of what the wave empties, and returns the machines
+// whose instances are empty.
+func (c *Controller) emptied(ctx context.Context, p *progress) []machine.Machine {
 	configuration := c.View.Catalog()
 	if configuration == nil {
-		return
+		return nil
 	}
-	pool := configuration.Pools[m.Pool]
-	if pool == nil || !pool.Spare {
-		empty, err := c.Releaser.Release(ctx, m.Pool, m.Instance)
-		if err != nil {
-			c.Logger.Info("maintenance.release_failed", zap.String("instance", m.Instance), zap.Error(err))
-			return
+	var empty, occupied []machine.Machine
+	for name, stage := range p.stages {
+		if stage != Emptying || c.untouchable(name) {
+			continue
 		}
-		if !empty {
-			return
+		m := c.listed[name]
+		if pool := configuration.Pools[m.Pool]; pool != nil && pool.Spare {
+			empty = append(empty, m)
+			continue
 		}
+		occupied = append(occupied, m)
 	}
-	c.order(ctx, wave, p, m)
+	return append(empty, c.released(ctx, occupied)...)
 }
 
-func (c *Controller) order(ctx context.Context, wave catalog.Wave, p *progress, m machine.Machine) {
-	if !c.intend(ctx, m.Name) {
-		return
+// orderDown takes empty machines down.
+func (c *Controller) orderDown(ctx context.Context, wave catalog.Wave, p *progress, machines []machine.Machine) {
+	orders := make([]order, len(machines))
+	for n, m := range machines {
+		orders[n] = order{machine: m.Name, call: func(ctx context.Context, by machine.Holder) error {
+			return c.Machines.Maintain(ctx, by, m.Name, wave.Number)
+		}}
+	}
+	for n, err := range c.send(ctx, orders) {
+		c.noteOrdered(wave, p, machines[n], err)
 	}
-	err := c.Machines.Maintain(ctx, machine.Holder{Name: c.Name, Fence: c.Tenure.Epoch}, m.Name, wave.Number)
+}
+
+func (c *Controller) noteOrdered(wave catalog.Wave, p *progress, m machine.Machine, err error) {
 	c.Logger.Info("maintenance.order", zap.Int64("wave", wave.Number), zap.String("machine", m.Name), zap.String("instance", m.Instance), zap.Error(err))
 	switch {
 	case err == nil, errors.Is(err, machine.ErrUnknown):
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -154,7 +154,7 @@
 	data, err := json.Marshal(map[string]any{
 		"instance": p.name, "data_centre": "z", "callers": listen["callers"], "readiness": listen["readiness"], "peers": listen["peers"],
 		"operations": listen["operations"], "store": p.link.addr(), "machines": listen["machines"], "units": units,
-		"processor_share": 1, "memory_mb": 256, "bounds": map[string]any{"max_lease_ms": maxLeaseMS, "grace_s": 6, "status_kept_s": 120, "duty_lease_ms": 3000, "cancel_ms": 3000, "drain_ms": 2000, "evacuate_ms": 5000},
+		"processor_share": 1, "duties_per_second": 64, "memory_mb": 256, "bounds": map[string]any{"max_lease_ms": maxLeaseMS, "grace_s": 6, "status_kept_s": 120, "duty_lease_ms": 3000, "cancel_ms": 3000, "drain_ms": 2000, "evacuate_ms": 5000},
 		"log": map[string]string{"level": "info"},
 	})
 	if err != nil {
