Count against a wave only what may be down for it

And a machine that is off took 4.5 s instead of 2 to count as back: it has no instance whose name would change, so that the wait for an order without an answer applied.

The record of the last orders now tells moves from maintenance, in a key of its own, and machines that may not be ordered yet aren't chosen. An order that was answered and the list's state are enough for a machine to be back.

Ruled out: the bound of a quarter of a pool (the wave's own bound held it up), the rate of orders.

Three tests fail without the three changes.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -38,7 +38,8 @@
 	// storeRetry lies between two tries of a call to the store.
 	storeRetry = 100 * time.Millisecond
 	// backFactor times the platform's maintenance is when a machine that is up
-	// counts as back, though its instance has the name that it had.
+	// counts as back without an answer to its order, though its instance has the
+	// name that it had.
 	backFactor = 2
 )
 
@@ -91,11 +92,13 @@
 	ledger *quota.Ledger
 	// grants numbers the words to owners.
 	grants int64
-	// recent holds when machines got their last orders, former the machines to
-	// which former holders gave theirs, left alone until handover.
-	recent   map[string]time.Time
-	former   map[string]bool
-	handover time.Duration
+	// recent holds the machines' last orders, former the machines to which former
+	// holders gave theirs, left alone until handover; formerDown are those of them
+	// that may be down for maintenance.
+	recent     map[string]lastOrder
+	former     map[string]bool
+	formerDown map[string]bool
+	handover   time.Duration
 	// moving holds the machines with an order to move.
 	moving map[string]movement
 	number int64
@@ -106,7 +109,7 @@
 	c.waves = map[int64]*progress{}
 	c.moving = map[string]movement{}
 	c.ledger = quota.NewLedger()
-	c.recent, c.former = map[string]time.Time{}, map[string]bool{}
+	c.recent, c.former, c.formerDown = map[string]lastOrder{}, map[string]bool{}, map[string]bool{}
 	if !c.takeOver(ctx) {
 		return
 	}
@@ -148,8 +151,12 @@
 	}
 	c.handover = c.Clock() + c.Handover
 	for _, r := range records {
-		if r.Key == ordersKey {
-			c.loadOrders(r)
+		switch r.Key {
+		case ordersKey:
+			c.loadOrders(r, c.former)
+			continue
+		case downKey:
+			c.loadOrders(r, c.formerDown)
 			continue
 		}
 		number, p, err := decodeProgress(r)
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -41,6 +42,8 @@
 	orders   map[string][]fakeOrder
 	// lost holds the machines whose next order is lost.
 	lost map[string]bool
+	// firstOrder is when the first order was carried out.
+	firstOrder time.Time
 	// takes is how long an order takes.
 	takes    time.Duration
 	down     int
@@ -86,6 +89,9 @@
 	if f.begun[name] {
 		return nil
 	}
+	if f.firstOrder.IsZero() {
+		f.firstOrder = time.Now()
+	}
 	f.begun[name] = true
 	f.down++
 	f.mostDown = max(f.mostDown, f.down)
@@ -96,7 +102,10 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.down--
-		m.State, m.Instance = machine.Up, m.Instance+"'"
+		m.State = machine.Up
+		if m.Instance != "" {
+			m.Instance += "'"
+		}
 		f.machines[name] = m
 	})
 	return nil
@@ -217,3 +226,73 @@
 		}
 	})
 }
+
+// A former holder's moves don't keep its successor from going on with a wave;
+// what it may have taken down does.
+func TestOnlyWhatMayBeDownCountsAgainstAWave(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		down []string
+		wait time.Duration
+	}{
+		{"moved", []string{}, 0},
+		{"taken down", []string{"m00", "m01", "m02"}, handover},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, f := memstore.New(1), newFakeMachines(12)
+				recordOrders(t, s, []string{"m00", "m01", "m02"}, c.down)
+				ctx, end := context.WithCancel(context.Background())
+				begin := time.Now()
+				hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 2)
+				time.Sleep(20 * time.Second)
+				end()
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				waited := f.firstOrder.Sub(begin)
+				is.True(waited >= c.wait)
+				is.True(waited < c.wait+time.Second)
+				is.True(f.mostDown <= atOnce)
+			})
+		})
+	}
+}
+
+// recordOrders records a former holder's last orders.
+func recordOrders(t *testing.T, s *memstore.Store, all, down []string) {
+	var records []store.Record
+	for key, names := range map[string][]string{ordersKey: all, downKey: down} {
+		value, err := msgpack.Marshal(names)
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, store.Record{Key: key, Value: value})
+	}
+	if err := s.Client().Append(t.Context(), Topic, 0, records, &store.Sequence{Producer: producer, Epoch: 1, Number: 1}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Machines that are off have no instance whose name would tell that they are
+// back: an order that was answered and the list's state are enough.
+func TestMachinesThatAreOffAreBackAfterTheirMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f := memstore.New(1), newFakeMachines(2*atOnce)
+		for name, m := range f.machines {
+			m.Instance = ""
+			f.machines[name] = m
+		}
+		ctx, end := context.WithCancel(context.Background())
+		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p", Spare: true}, atOnce), 1)
+		// Two turns of a maintenance and a list each, and a second to begin.
+		time.Sleep(2*(maintenance+listAge+2*step) + time.Second)
+		page, err := s.Client().Newest(ctx, "keyed.status", 0, "")
+		is.NoErr(err)
+		is.Equal(string(page.Records[0].Value), "true")
+		end()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -27,7 +27,7 @@
 	moves := c.possible(ctx, rebalance.Plan(c.moveSnapshot(configuration)))
 	orders := make([]order, len(moves))
 	for n, m := range moves {
-		orders[n] = order{machine: m.Machine, call: func(ctx context.Context, by machine.Holder) error {
+		orders[n] = order{machine: m.Machine, kind: toMove, call: func(ctx context.Context, by machine.Holder) error {
 			return c.Machines.Move(ctx, by, m.Machine, m.To)
 		}}
 	}
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -23,6 +23,24 @@
 // machines have just had one.
 const ordersKey = "orders"
 
+// downKey is the record of those among them that may be down for maintenance:
+// they count against their wave's bound, the ones that only move don't.
+const downKey = "down"
+
+// orderKind is what an order does to a machine.
+type orderKind int
+
+const (
+	toMove orderKind = iota
+	toMaintain
+)
+
+// lastOrder is a machine's last order by this holder.
+type lastOrder struct {
+	at   time.Time
+	kind orderKind
+}
+
 const (
 	// ordersAtOnce are sent at the same time, as many as the client of machines
 	// has connections.
@@ -34,6 +52,7 @@
 // order is a call about one machine.
 type order struct {
 	machine string
+	kind    orderKind
 	call    func(ctx context.Context, by machine.Holder) error
 }
 
@@ -41,11 +60,7 @@
 // the platform takes. It returns an error or nil for each order, and nothing if
 // they weren't recorded.
 func (c *Controller) send(ctx context.Context, orders []order) []error {
-	names := make([]string, len(orders))
-	for n, o := range orders {
-		names[n] = o.machine
-	}
-	if len(orders) == 0 || !c.intend(ctx, names...) {
+	if len(orders) == 0 || !c.intend(ctx, orders) {
 		return nil
 	}
 	errs := make([]error, len(orders))
@@ -98,37 +113,56 @@
 
 // intend records that machines are about to get orders. Without it none may be
 // sent.
-func (c *Controller) intend(ctx context.Context, names ...string) bool {
+func (c *Controller) intend(ctx context.Context, orders []order) bool {
 	now := time.Now()
-	for name, at := range c.recent {
-		if now.Sub(at) > c.Handover {
+	for name, last := range c.recent {
+		if now.Sub(last.at) > c.Handover {
 			delete(c.recent, name)
 		}
 	}
-	for _, name := range names {
-		c.recent[name] = now
+	for _, o := range orders {
+		c.recent[o.machine] = lastOrder{at: now, kind: o.kind}
 	}
-	value, err := msgpack.Marshal(slices.Sorted(maps.Keys(c.recent)))
+	records, err := c.encodeOrders()
 	if err != nil {
 		c.Logger.Error("orders.encode", zap.Error(err))
 		return false
 	}
-	if err := c.append(ctx, store.Record{Key: ordersKey, Value: value}); err != nil {
-		c.Logger.Warn("orders.not_recorded", zap.Strings("machines", names), zap.Error(err))
+	if err := c.append(ctx, records...); err != nil {
+		c.Logger.Warn("orders.not_recorded", zap.Int("orders", len(orders)), zap.Error(err))
 		return false
 	}
 	return c.Holds(c.Tenure, OrderGrace)
 }
 
+func (c *Controller) encodeOrders() ([]store.Record, error) {
+	var down []string
+	for name, last := range c.recent {
+		if last.kind == toMaintain {
+			down = append(down, name)
+		}
+	}
+	slices.Sort(down)
+	all, err := msgpack.Marshal(slices.Sorted(maps.Keys(c.recent)))
+	if err != nil {
+		return nil, errors.Wrap(err, ordersKey)
+	}
+	maintained, err := msgpack.Marshal(down)
+	if err != nil {
+		return nil, errors.Wrap(err, downKey)
+	}
+	return []store.Record{{Key: ordersKey, Value: all}, {Key: downKey, Value: maintained}}, nil
+}
+
 // loadOrders notes the machines that a former holder may just have ordered.
-func (c *Controller) loadOrders(r store.Record) {
+func (c *Controller) loadOrders(r store.Record, into map[string]bool) {
 	var names []string
 	if err := msgpack.Unmarshal(r.Value, &names); err != nil {
-		c.Logger.Error("orders.unreadable", zap.Error(err))
+		c.Logger.Error("orders.unreadable", zap.String("key", r.Key), zap.Error(err))
 		return
 	}
 	for _, name := range names {
-		c.former[name] = true
+		into[name] = true
 	}
 }
 
@@ -137,11 +171,17 @@
 	return c.former[name] && c.Clock() < c.handover
 }
 
+// downElsewhere says whether a machine is down for maintenance, or may be, by a
+// former holder's order.
+func (c *Controller) downElsewhere(name string) bool {
+	return c.listed[name].State == machine.Maintenance || c.formerDown[name] && c.Clock() < c.handover
+}
+
 // append records under the tenure's epoch.
-func (c *Controller) append(ctx context.Context, r store.Record) error {
+func (c *Controller) append(ctx context.Context, records ...store.Record) error {
 	c.number++
 	seq := &store.Sequence{Producer: producer, Epoch: c.Tenure.Epoch, Number: c.number}
-	err := c.Log.Append(ctx, Topic, 0, []store.Record{r}, seq)
+	err := c.Log.Append(ctx, Topic, 0, records, seq)
 	var sequence *store.SequenceError
 	if errors.As(err, &sequence) {
 		// An append without an answer was, or wasn't, carried out.
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -42,9 +42,12 @@
 	SparePools map[string]bool
 	// Load is how many runs an instance has; absent if unknown.
 	Load map[string]int
-	// Elsewhere counts the wave's machines that are down, or may be, by other
-	// orders than this holder's: a former holder's, or a move's.
+	// Elsewhere counts the wave's machines that are down for maintenance, or may
+	// be, by a former holder's orders.
 	Elsewhere int
+	// Reserved machines can't have an order yet, since a former holder's may be
+	// under way.
+	Reserved map[string]bool
 	// Waiting says that a pool has work that waits.
 	Waiting map[string]bool
 	// Out counts the machines of each pool that other waves and moves keep out.
@@ -88,7 +91,7 @@
 	var due []string
 	for name, stage := range s.Stages {
 		m, known := s.Machines[name]
-		if stage == Due && known && m.State == machine.Up {
+		if stage == Due && known && m.State == machine.Up && !s.Reserved[name] {
 			due = append(due, name)
 		}
 	}
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -39,6 +39,11 @@
 		{"idle ones all at once", func(s *Snapshot) { s.Load = zero(s.Load) }, 10},
 		{"idle ones in turn while work waits", func(s *Snapshot) { s.Load = zero(s.Load); s.Waiting["p"] = true }, 3},
 		{"machines that are off all at once", func(s *Snapshot) { s.SparePools["p"] = true }, 10},
+		{"all but those with a former holder's order", func(s *Snapshot) {
+			s.Wave.AtOnce = 12
+			s.Reserved = map[string]bool{"m00": true, "m01": true}
+			s.Load = zero(s.Load)
+		}, 10},
 		{"none that isn't up", func(s *Snapshot) {
 			for name, m := range s.Machines {
 				m.State = machine.Moving
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -103,18 +103,24 @@
 	if m.State != machine.Up || since < listAge {
 		return false
 	}
-	return m.Instance != p.ordered[name] || since > backFactor*c.Duration
+	settled := backFactor * c.Duration
+	if p.begun[name] {
+		// The answer says that it went down; a machine that is off has no instance
+		// whose name would show its return.
+		settled = c.Duration
+	}
+	return m.Instance != p.ordered[name] || since > settled
 }
 
 func (c *Controller) snapshot(wave catalog.Wave, p *progress) Snapshot {
 	s := Snapshot{
 		Wave: wave, Stages: p.stages, Machines: c.listed,
-		PoolSizes: map[string]int{}, SparePools: map[string]bool{}, Load: map[string]int{}, Out: map[string]int{}, Waiting: map[string]bool{},
+		PoolSizes: map[string]int{}, SparePools: map[string]bool{}, Load: map[string]int{}, Out: map[string]int{}, Waiting: map[string]bool{}, Reserved: map[string]bool{},
 	}
 	for _, name := range wave.Machines {
 		stage := p.stages[name]
-		down := c.listed[name].State != machine.Up || c.untouchable(name)
-		if stage != Emptying && stage != Down && down {
+		s.Reserved[name] = c.untouchable(name)
+		if stage != Emptying && stage != Down && c.downElsewhere(name) {
 			s.Elsewhere++
 		}
 	}
@@ -162,7 +168,7 @@
 func (c *Controller) orderDown(ctx context.Context, wave catalog.Wave, p *progress, machines []machine.Machine) {
 	orders := make([]order, len(machines))
 	for n, m := range machines {
-		orders[n] = order{machine: m.Name, call: func(ctx context.Context, by machine.Holder) error {
+		orders[n] = order{machine: m.Name, kind: toMaintain, call: func(ctx context.Context, by machine.Holder) error {
 			return c.Machines.Maintain(ctx, by, m.Name, wave.Number)
 		}}
 	}
