Drop old orders from the record that holds a new lead up

The lead now drops what has become old from the record, at most twice a second and only if something has.

The test fails without it.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -98,6 +98,10 @@
 	recent     map[string]lastOrder
 	former     map[string]bool
 	formerDown map[string]bool
+	// recorded is how many machines the record of the last orders names, and
+	// recordedAt when it was written.
+	recorded   int
+	recordedAt time.Time
 	handover   time.Duration
 	// moving holds the machines with an order to move.
 	moving map[string]movement
@@ -190,6 +194,7 @@
 		}
 	}
 	c.rebalance(ctx, configuration)
+	c.releaseOrders(ctx)
 }
 
 // readDemand asks the owners of all pools, and grants them what teams may run.
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -296,3 +296,30 @@
 		synctest.Wait()
 	})
 }
+
+// A lead that has given no orders for a while leaves its successor free to give
+// some at once.
+func TestOldOrdersDontHoldASuccessorUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f := memstore.New(1), newFakeMachines(atOnce)
+		ctx, end := context.WithCancel(context.Background())
+		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
+		time.Sleep(20 * time.Second)
+		end()
+		time.Sleep(time.Second)
+		is.Equal(len(f.begun), atOnce)
+		page, err := s.Client().Newest(context.Background(), Topic, 0, "")
+		is.NoErr(err)
+		for _, r := range page.Records {
+			if r.Key != ordersKey && r.Key != downKey {
+				continue
+			}
+			var names []string
+			is.NoErr(msgpack.Unmarshal(r.Value, &names))
+			is.Equal(len(names), 0)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -45,6 +45,8 @@
 	// ordersAtOnce are sent at the same time, as many as the client of machines
 	// has connections.
 	ordersAtOnce = 4
+	// releaseInterval lies between two records of orders that have become old.
+	releaseInterval = 500 * time.Millisecond
 	// releasesAtOnce ask owners at the same time; an owner answers in its turn.
 	releasesAtOnce = 8
 )
@@ -115,24 +117,47 @@
 // sent.
 func (c *Controller) intend(ctx context.Context, orders []order) bool {
 	now := time.Now()
+	c.dropOldOrders(now)
+	for _, o := range orders {
+		c.recent[o.machine] = lastOrder{at: now, kind: o.kind}
+	}
+	return c.recordOrders(ctx) && c.Holds(c.Tenure, OrderGrace)
+}
+
+// releaseOrders records that orders have become so old that a successor need not
+// wait for them: it can't tell how old a record is.
+func (c *Controller) releaseOrders(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(c.recordedAt) < releaseInterval {
+		return
+	}
+	c.dropOldOrders(now)
+	if len(c.recent) < c.recorded {
+		c.recordOrders(ctx)
+	}
+}
+
+func (c *Controller) dropOldOrders(now time.Time) {
 	for name, last := range c.recent {
 		if now.Sub(last.at) > c.Handover {
 			delete(c.recent, name)
 		}
 	}
-	for _, o := range orders {
-		c.recent[o.machine] = lastOrder{at: now, kind: o.kind}
-	}
+}
+
+func (c *Controller) recordOrders(ctx context.Context) bool {
 	records, err := c.encodeOrders()
 	if err != nil {
 		c.Logger.Error("orders.encode", zap.Error(err))
 		return false
 	}
+	c.recordedAt = time.Now()
 	if err := c.append(ctx, records...); err != nil {
-		c.Logger.Warn("orders.not_recorded", zap.Int("orders", len(orders)), zap.Error(err))
+		c.Logger.Warn("orders.not_recorded", zap.Int("machines", len(c.recent)), zap.Error(err))
 		return false
 	}
-	return c.Holds(c.Tenure, OrderGrace)
+	c.recorded = len(c.recent)
+	return true
 }
 
 func (c *Controller) encodeOrders() ([]store.Record, error) {
