Send machines for the work that a peak is about to bring

The owner now forecasts how many cores arriving work will keep busy when a machine that is sent now has arrived: the work handed in lately, over a window of a job's own length, and its growth. The lead sends machines for what a pool is expected to lack, and lets a pool keep them until then.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -150,6 +150,7 @@
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Harm: millis(b.HarmMS), Notice: millis(b.NoticeMS),
+			Move:   seconds(b.MoveS) + registryPause,
 			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
 		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: of, Used: d.pools.Used,
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -30,7 +30,11 @@
 			d.Instances[id] = a.describe(now)
 		}
 	}
+	if a := u.arrivals[pool]; a != nil {
+		d.ArrivingCPU = int(a.Cores(now, u.Bounds.Move) * 1000)
+	}
 	for _, n := range u.nodes(pool, now) {
+		d.LastingCPU += n.ServingCPU
 		d.FreeCPU += max(n.Free.CPU, 0)
 		d.UsableCPU += n.Capacity.CPU
 	}
--- a/internal/owner/learn.go
+++ b/internal/owner/learn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beryltide/beryltide/internal/forecast"
 	"github.com/beryltide/beryltide/internal/job"
 )
 
@@ -71,3 +72,17 @@
 	}
 	w.mean += learnWeight * (e.whole - w.mean)
 }
+
+// noteArrival counts a job's work towards what its pool is expected to be asked
+// for. Lasting jobs and those with due times don't come by turns.
+func (u *Unit) noteArrival(e *entry, now time.Time) {
+	if !u.loaded || e.lasting || e.timed {
+		return
+	}
+	pool := e.job.Submission.Pool
+	if u.arrivals[pool] == nil {
+		u.arrivals[pool] = &forecast.Arrivals{}
+	}
+	chain, work := u.remaining(e, nil)
+	u.arrivals[pool].Add(now, work, chain)
+}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -98,7 +98,7 @@
 }
 
 func (u *Unit) loadSubmission(r store.Record, progress map[string][]byte, now time.Time) {
-	e := u.addSubmission(r)
+	e := u.addSubmission(r, now)
 	if e == nil {
 		return
 	}
@@ -189,7 +189,7 @@
 	switch {
 	case len(r.Value) == 0:
 	case strings.HasPrefix(r.Key, SubmissionPrefix):
-		u.addSubmission(r)
+		u.addSubmission(r, now)
 	case strings.HasPrefix(r.Key, CancelPrefix):
 		u.applyCancel(strings.TrimPrefix(r.Key, CancelPrefix), now)
 	}
@@ -197,7 +197,7 @@
 
 // addSubmission adds a job unless it is known: a repeat changes nothing. It
 // returns nil for those.
-func (u *Unit) addSubmission(r store.Record) *entry {
+func (u *Unit) addSubmission(r store.Record, now time.Time) *entry {
 	id := strings.TrimPrefix(r.Key, SubmissionPrefix)
 	if u.jobs[id] != nil {
 		return nil
@@ -210,6 +210,7 @@
 	e := newEntry(s)
 	u.jobs[id] = e
 	u.noteWork(e)
+	u.noteArrival(e, now)
 	if u.early[id] {
 		delete(u.early, id)
 		u.cancelJob(e)
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -13,6 +13,7 @@
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/fleetview"
+	"github.com/beryltide/beryltide/internal/forecast"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/ownership"
@@ -53,6 +54,9 @@
 	Harm time.Duration
 	// Notice is for how long a lasting task counts as away after it was.
 	Notice time.Duration
+	// Move is how long a machine takes from its order into another pool until it
+	// can be used there.
+	Move time.Duration
 	// Cancel, Drain and Evacuate are after how long nothing may start of a job
 	// that was cancelled, at an instance that leaves, in a data centre taken out.
 	Cancel   time.Duration
@@ -121,6 +125,7 @@
 	// left is what teams may still start in the round that is being planned.
 	left      map[share]*job.Resources
 	durations durations
+	arrivals  map[string]*forecast.Arrivals
 	work      map[string]*queueWork
 }
 
@@ -146,7 +151,7 @@
 		Deps: deps, tenure: tenure,
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
 		jobs: map[string]*entry{}, agents: map[string]*agent{}, early: map[string]bool{}, losses: map[string]loss{}, advice: map[StepID]*advised{},
-		allowances: newAllowances(), durations: durations{}, work: map[string]*queueWork{},
+		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*forecast.Arrivals{}, work: map[string]*queueWork{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
 	u.commit.init()
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -44,6 +44,10 @@
 	// thousandths of a core; WaitingWork what they need, in core-seconds.
 	WaitingCPU  int
 	WaitingWork float64
+	// ArrivingCPU is what work still to come is expected to keep busy when a machine
+	// that is sent now has arrived; LastingCPU is what lasting tasks take.
+	ArrivingCPU int
+	LastingCPU  int
 	// FreeCPU is what usable instances have free, UsableCPU all that they have.
 	FreeCPU   int
 	UsableCPU int
@@ -129,6 +133,7 @@
 			size[m.Pool]++
 		}
 	}
+	keep := s.keep()
 	var out []machine.Machine
 	for _, m := range s.byName() {
 		d, known := s.Demand[m.Pool]
@@ -140,7 +145,7 @@
 			continue
 		}
 		if !s.Out[m.DataCentre] {
-			if d.WaitingCPU > 0 || size[m.Pool] <= s.Base[m.Pool] {
+			if d.WaitingCPU > 0 || size[m.Pool] <= keep[m.Pool] {
 				continue
 			}
 			size[m.Pool]--
@@ -150,6 +155,19 @@
 	return out
 }
 
+// keep is how many machines each pool keeps: its base, and those for the work
+// that is expected.
+func (s Snapshot) keep() map[string]int {
+	keep := maps.Clone(s.Base)
+	size := max(s.machineSize(), 1)
+	for name, d := range s.Demand {
+		if d.ArrivingCPU > 0 {
+			keep[name] = max(keep[name], (d.ArrivingCPU+d.LastingCPU+size-1)/size)
+		}
+	}
+	return keep
+}
+
 func (s Snapshot) byName() []machine.Machine {
 	return slices.SortedFunc(maps.Values(s.Machines), func(a, b machine.Machine) int { return cmp.Compare(a.Name, b.Name) })
 }
@@ -165,12 +183,15 @@
 	var out []wanting
 	size := s.machineSize()
 	for name, d := range s.Demand {
-		if name == s.Spare || d.WaitingCPU == 0 || size == 0 {
+		if name == s.Spare || size == 0 {
 			continue
 		}
 		backlog := d.backlog()
-		missing := max((d.WaitingCPU-d.FreeCPU)/size, leastMissing(d)) - s.Arriving[name]
-		if backlog > backlogWorth && missing > 0 {
+		missing := d.expected() / size
+		if backlog > backlogWorth {
+			missing = max(missing, (d.WaitingCPU-d.FreeCPU)/size, leastMissing(d))
+		}
+		if missing -= s.Arriving[name]; missing > 0 {
 			out = append(out, wanting{name: name, backlog: backlog, missing: missing})
 		}
 	}
@@ -185,12 +206,23 @@
 
 // backlog is for how long the waiting work keeps all usable instances busy.
 func (d Demand) backlog() time.Duration {
+	if d.WaitingCPU == 0 {
+		return 0
+	}
 	if d.UsableCPU == 0 {
 		return noRoom
 	}
 	return time.Duration(d.WaitingWork / float64(d.UsableCPU) * 1000 * float64(time.Second))
 }
 
+// expected is what a pool is expected to lack, in thousandths of a core.
+func (d Demand) expected() int {
+	if d.ArrivingCPU == 0 {
+		return 0
+	}
+	return max(d.ArrivingCPU+d.LastingCPU-d.UsableCPU, 0)
+}
+
 // noRoom stands for a backlog that nothing works off.
 const noRoom = time.Hour
 
