Tell what waits by queue, and what is expected by pool

The issue on explaining failures asks for waiting jobs by queue; they were told by pool only. A daemon that loses a unit now sets the unit's gauges to 0, so that a former owner's figures don't stand beside its successor's.

--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -23,6 +23,8 @@
 // poolGauges is what a unit tells of one of its pools.
 type poolGauges struct {
 	waiting, runs, instances, usable int
+	// arriving is how many cores arriving work is expected to keep busy.
+	arriving float64
 }
 
 // showPool sets the gauges of a pool.
@@ -32,6 +34,12 @@
 	s.Gauge("pool_runs").Update(float64(g.runs))
 	s.Gauge("pool_instances").Update(float64(g.instances))
 	s.Gauge("pool_usable_instances").Update(float64(g.usable))
+	s.Gauge("pool_expected_cores").Update(g.arriving)
+}
+
+// showQueue sets the gauge of a queue.
+func (m *Meter) showQueue(queue string, waiting int) {
+	m.scope.Tagged(map[string]string{"queue": queue}).Gauge("queue_waiting_jobs").Update(float64(waiting))
 }
 
 // showTeam sets the gauges of a team in a pool.
@@ -88,10 +96,46 @@
 		}
 		pools[pool] = g
 	}
+	for pool, arrivals := range u.arrivals {
+		g := pools[pool]
+		g.arriving = arrivals.Cores(now, u.Bounds.Move)
+		pools[pool] = g
+	}
 	for pool, g := range pools {
 		u.Meter.showPool(pool, g)
 	}
+	u.showQueues()
 	for s, running := range u.allowances.running {
 		u.Meter.showTeam(s.pool, s.team, running, u.allowances.grants[s])
 	}
 }
+
+// showQueues tells how many accepted jobs of each queue haven't started.
+func (u *Unit) showQueues() {
+	waiting := map[string]int{}
+	for _, e := range u.jobs {
+		queue := e.job.Submission.Queue
+		if !e.startedVisible && e.job.Active() {
+			waiting[queue]++
+		} else if _, known := waiting[queue]; !known {
+			waiting[queue] = 0
+		}
+	}
+	for queue, jobs := range waiting {
+		u.Meter.showQueue(queue, jobs)
+	}
+}
+
+// clearGauges sets the gauges of a unit that this daemon no longer owns to 0: its
+// successor tells of it from now on.
+func (u *Unit) clearGauges() {
+	for _, a := range u.agents {
+		u.Meter.showPool(a.reg.Pool, poolGauges{})
+	}
+	for s := range u.allowances.running {
+		u.Meter.showTeam(s.pool, s.team, job.Resources{}, job.Resources{})
+	}
+	for _, e := range u.jobs {
+		u.Meter.showQueue(e.job.Submission.Queue, 0)
+	}
+}
--- /dev/null
+++ b/internal/owner/meter_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+)
+
+// gauge returns the sum of a gauge over all its tags.
+func gauge(scope tally.TestScope, name string) float64 {
+	sum := 0.0
+	for _, g := range scope.Snapshot().Gauges() {
+		if g.Name() == name {
+			sum += g.Value()
+		}
+	}
+	return sum
+}
+
+// What waits is told by queue, and by the owner alone: a former one's figures
+// would stand beside its successor's.
+func TestWaitingJobsAreToldByTheOwner(t *testing.T) {
+	inVirtualTime(t, 1, func(w *world, is *is.I) {
+		w.instances["i-0"].takes = time.Hour
+		d := w.own(64)
+		scope := tally.NewTestScope("", nil)
+		time.Sleep(50 * time.Millisecond)
+		d.unit.post(func() { d.unit.Meter = NewMeter(scope) })
+		w.submit(jobA, long(4))
+		w.submit("00000000000000bb", long(2))
+		w.submit("00000000000000cc", long(2))
+		time.Sleep(2 * showInterval)
+		is.Equal(gauge(scope, "queue_waiting_jobs"), 2.0)
+		is.Equal(gauge(scope, "pool_runs"), 4.0)
+		d.unit.Stop()
+		<-d.unit.Done()
+		is.Equal(gauge(scope, "queue_waiting_jobs"), 0.0)
+		is.Equal(gauge(scope, "pool_runs"), 0.0)
+	})
+}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -172,6 +172,7 @@
 func (u *Unit) Run() {
 	defer close(u.done)
 	defer u.cancel()
+	defer u.clearGauges()
 	for !u.Used(u.tenure.Unit) {
 		if !pause.For(u.ctx, unusedCheck) {
 			return
