Refuse at once while the store is away

A daemon now notes what becomes of its own calls. Once nothing has been served for half a second, three calls in a row, a submission isn't tried there any more but only by the owner, which may be served; if that can't either, it is refused at once, truly, as not run. Retry-After grows with the outage, one to three seconds, and is spread over a second.

--- a/cmd/beryltided/fleet.go
+++ b/cmd/beryltided/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/beryltide/beryltide/internal/intake"
 	"github.com/beryltide/beryltide/internal/logging"
 	"github.com/beryltide/beryltide/internal/metrics"
+	"github.com/beryltide/beryltide/internal/store"
 	"github.com/beryltide/beryltide/platform"
 )
 
@@ -72,7 +73,7 @@
 func openFleet(s fleetd.Settings, logger *zap.Logger) (fleetd.Ports, error) {
 	scope, page, _ := metrics.New()
 	ports := fleetd.Ports{
-		Log:       platform.NewStore(s.Store, storeCalls(scope)),
+		Log:       store.Watch(platform.NewStore(s.Store, storeCalls(scope)), bootclock.System),
 		Instances: platform.NewInstances(),
 		Advisor:   platform.NewAdvisor(s.Advisor),
 		Decoders: fleetview.Decoders{
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -64,7 +64,7 @@
 
 // Ports are what the daemon needs of the platform and of its machine.
 type Ports struct {
-	Log       store.Log
+	Log       *store.Watched
 	Instances instance.Client
 	Advisor   owner.Advisor
 	Decoders  fleetview.Decoders
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -49,6 +49,9 @@
 			return nil
 		}
 		doubt = doubt || mayBeDone(err)
+		if away := s.Log.Away(); away > 0 && !doubt {
+			return errors.Wrapf(ErrNotRun, "the store hasn't answered for %d ms", away.Milliseconds())
+		}
 		if pause.For(ctx, storeRetry) {
 			continue
 		}
@@ -114,9 +117,14 @@
 
 // appendOnce tries the store, then the unit's owner: the store may serve other
 // daemons while it doesn't serve this one. The one that answered last goes first.
+// A store that is known to be away isn't tried: a try without an answer would
+// leave the caller without a refusal that it may act on.
 func (s *Service) appendOnce(unit int, records []store.Record) error {
 	tries := []func(int, []store.Record) error{s.appendSelf, s.appendAtOwner}
-	if time.Now().UnixMilli() < s.avoidStore.Load() {
+	switch {
+	case s.Log.Away() > 0:
+		tries = tries[1:]
+	case time.Now().UnixMilli() < s.avoidStore.Load():
 		tries[0], tries[1] = tries[1], tries[0]
 	}
 	var failed error
@@ -155,6 +163,9 @@
 		return errors.Wrap(store.ErrNotDone, "no owner known")
 	}
 	reply, err := s.Peers.Store(ctx, address, ownerrpc.StoreRequest{Unit: unit, Records: records})
+	if errors.Is(err, ownerrpc.ErrUnsent) {
+		return errors.Wrap(store.ErrNotDone, err.Error())
+	}
 	if err != nil {
 		return errors.Wrap(store.ErrUnknown, err.Error())
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +46,7 @@
 
 // Service serves callers.
 type Service struct {
-	Log    store.Log
+	Log    *store.Watched
 	Units  ownerrpc.Units
 	Peers  *ownerrpc.Client
 	Member *ownership.Member
@@ -58,6 +59,22 @@
 	batches sync.Map
 }
 
+// Bounds of when refused callers are told to come back.
+const (
+	earliestRetry = time.Second
+	// latestRetry keeps callers, who try a few times only, from being away for
+	// much longer than the outage.
+	latestRetry = 3 * time.Second
+)
+
+// RetryAfter returns when a refused caller should come back. An outage of unknown
+// length is as likely as not to last as long again as it has so far. Callers
+// are spread over a second, so that they don't return as a wave.
+func (s *Service) RetryAfter() time.Duration {
+	wait := min(max(s.Log.Away(), earliestRetry), latestRetry)
+	return wait + rand.N(earliestRetry)
+}
+
 // Submit stores a job. Without an error it is accepted and stays so.
 func (s *Service) Submit(ctx context.Context, sub *job.Submission) error {
 	data, err := job.EncodeSubmission(sub)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, client, zap.NewNop()) }()
+	go func() { _ = ownerrpc.Serve(listener, noUnits{}, watch(client), zap.NewNop()) }()
 	_, err = s.Client().Join(context.Background(), store.Join{
 		Group: "owners", Member: listener.Addr().String() + "#1#1", Topics: []string{ownership.Topic}, TTL: time.Hour,
 	})
@@ -40,9 +40,16 @@
 	}
 }
 
+// watch observes a client's calls on the steady clock.
+func watch(client *memstore.Client) *store.Watched {
+	begin := time.Now()
+	return store.Watch(client, func() time.Duration { return time.Since(begin) })
+}
+
 func service(client *memstore.Client) *Service {
-	member := ownership.New(client, "127.0.0.1:1", "1", 1, func() time.Duration { return time.Hour }, zap.NewNop())
-	return &Service{Log: client, Units: noUnits{}, Peers: ownerrpc.NewClient(), Member: member, UnitOf: func(string) int { return 1 }, Logger: zap.NewNop()}
+	log := watch(client)
+	member := ownership.New(log, "127.0.0.1:1", "1", 1, func() time.Duration { return time.Hour }, zap.NewNop())
+	return &Service{Log: log, Units: noUnits{}, Peers: ownerrpc.NewClient(), Member: member, UnitOf: func(string) int { return 1 }, Logger: zap.NewNop()}
 }
 
 func submission() *job.Submission {
@@ -139,3 +146,55 @@
 		is.True(appends <= 2)
 	})
 }
+
+// A daemon that knows that the store is away refuses at once, and truly, what it
+// could only hold until its caller gives up without an answer.
+func TestNothingIsHeldWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(4)
+		client := s.Client()
+		service := service(client)
+		client.SetFault(func(string) memstore.Fault { return memstore.LoseCall })
+		for range 5 { // as the daemon's own joins do
+			_, err := service.Log.Owners(t.Context(), "owners")
+			is.True(err != nil)
+			time.Sleep(300 * time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		begin := time.Now()
+		is.True(errors.Is(service.Submit(ctx, submission()), ErrNotRun))
+		is.True(time.Since(begin) < 50*time.Millisecond)
+		is.True(service.RetryAfter() >= earliestRetry)
+		client.SetFault(nil)
+		is.True(!stored(t, s))
+		_, err := service.Log.Owners(t.Context(), "owners")
+		is.NoErr(err)
+		is.NoErr(service.Submit(ctx, submission()))
+		is.True(stored(t, s))
+	})
+}
+
+// Callers of a long outage come back later, and not all at the same time.
+func TestCallersReturnLaterAndSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := memstore.New(4).Client()
+		service := service(client)
+		is.True(service.RetryAfter() < 2*earliestRetry)
+		client.SetFault(func(string) memstore.Fault { return memstore.LoseCall })
+		for range 20 {
+			_, _ = service.Log.Owners(t.Context(), "owners")
+			time.Sleep(500 * time.Millisecond)
+		}
+		first, last := service.RetryAfter(), time.Duration(0)
+		for range 200 {
+			wait := service.RetryAfter()
+			first, last = min(first, wait), max(last, wait)
+		}
+		is.True(first >= latestRetry)
+		is.True(last < latestRetry+earliestRetry)
+		is.True(last-first > earliestRetry/2)
+	})
+}
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -31,6 +31,9 @@
 	storeTimeout = 400 * time.Millisecond
 )
 
+// ErrUnsent says that a call never left this daemon.
+var ErrUnsent = errors.New("the peer can't be reached")
+
 // Code says why an owner gave no answer.
 type Code int
 
@@ -114,12 +117,16 @@
 // Server answers other daemons.
 type Server struct {
 	units Units
-	log   store.Log
+	log   *store.Watched
 }
 
 // Store appends callers' records to a unit's partition. Its owner merges them,
 // however often they are there.
 func (s *Server) Store(req StoreRequest, reply *StoreReply) error {
+	if s.log.Away() > 0 {
+		reply.Code = NotReady
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	err := s.log.Append(ctx, ownership.Topic, req.Unit, req.Records, nil)
@@ -221,7 +228,7 @@
 }
 
 // Serve answers on a listener until it is closed.
-func Serve(l net.Listener, units Units, log store.Log, logger *zap.Logger) error {
+func Serve(l net.Listener, units Units, log *store.Watched, logger *zap.Logger) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, &Server{units: units, log: log}); err != nil {
 		return errors.Wrap(err, "register")
@@ -317,7 +324,7 @@
 	}
 	raw, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
-		return nil, errors.Wrap(err, "peer")
+		return nil, errors.Wrap(ErrUnsent, err.Error())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -55,7 +55,7 @@
 
 // Member is this daemon's membership.
 type Member struct {
-	log    store.Log
+	log    *store.Watched
 	name   string
 	clock  bootclock.Clock
 	logger *zap.Logger
@@ -83,7 +83,7 @@
 // New returns a member that peers reach at an address. The incarnation tells
 // its name apart from that of an earlier process there. Strength is its share of
 // a processor: weak daemons own units only while few strong ones do.
-func New(log store.Log, address, incarnation string, strength float64, clock bootclock.Clock, logger *zap.Logger) *Member {
+func New(log *store.Watched, address, incarnation string, strength float64, clock bootclock.Clock, logger *zap.Logger) *Member {
 	name := strings.Join([]string{address, incarnation, strconv.FormatFloat(strength, 'g', 4, 64)}, nameSeparator)
 	return &Member{
 		log: log, name: name, strength: strength, clock: clock, logger: logger,
@@ -251,6 +251,10 @@
 }
 
 func (m *Member) refreshOwners(ctx context.Context) {
+	if m.log.Away() > 0 {
+		// The last list stands: whoever waits for a new one waits in vain.
+		return
+	}
 	rows, err := m.log.Owners(ctx, group)
 	m.ownersAt = m.clock()
 	if err != nil {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beryltide/beryltide/internal/memstore"
+	"github.com/beryltide/beryltide/internal/store"
 )
 
 const units = 4
@@ -28,7 +29,7 @@
 func join(ctx context.Context, s *memstore.Store, address string, strength float64) (*Member, *memstore.Client, *host) {
 	h := &host{began: time.Now()}
 	client := s.Client()
-	m := New(client, address, "1", strength, h.clock, zap.NewNop())
+	m := New(store.Watch(client, h.clock), address, "1", strength, h.clock, zap.NewNop())
 	go m.Run(ctx, func([]Tenure) {})
 	return m, client, h
 }
--- /dev/null
+++ b/internal/store/health.go
@@ -0,0 +1,151 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// awayFailures in a row, with nothing served in between, tell an outage from
+	// single lost answers.
+	awayFailures = 3
+	// awaySilence is for how long nothing may have been served for it: well over
+	// an answer of a slow store (60 times 4 ms).
+	awaySilence = 500 * time.Millisecond
+)
+
+// Health tells whether the store serves this daemon, from what becomes of its
+// calls. The daemon's own reads and joins go on all the while, so a return is
+// noticed without any caller's request.
+type Health struct {
+	clock func() time.Duration
+
+	mu sync.Mutex
+	// servedAt is when a call was last served, failures counts those since.
+	servedAt time.Duration
+	failures int
+	// since is when the first of them ended.
+	since time.Duration
+}
+
+// NewHealth returns the health of a store that is taken to serve.
+func NewHealth(clock func() time.Duration) *Health {
+	return &Health{clock: clock, servedAt: clock()}
+}
+
+// Observe notes what became of a call. A refusal that says why, such as that of
+// a fenced append, is served.
+func (h *Health) Observe(served bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	if served {
+		h.servedAt, h.failures = now, 0
+		return
+	}
+	if h.failures == 0 {
+		h.since = now
+	}
+	h.failures++
+}
+
+// Away returns for how long the store hasn't served; 0 means that it does.
+func (h *Health) Away() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	if h.failures < awayFailures || now-h.servedAt < awaySilence {
+		return 0
+	}
+	return max(now-h.since, time.Millisecond)
+}
+
+// Watched is a log whose calls tell whether the store serves this daemon.
+type Watched struct {
+	log    Log
+	health *Health
+}
+
+var _ Log = (*Watched)(nil)
+
+// Watch observes a log's calls.
+func Watch(log Log, clock func() time.Duration) *Watched {
+	return &Watched{log: log, health: NewHealth(clock)}
+}
+
+// Away returns for how long the store hasn't served this daemon; 0 means that it
+// does.
+func (w *Watched) Away() time.Duration { return w.health.Away() }
+
+// observe notes a call's result. One that this daemon gave up by itself says
+// nothing of the store.
+func (w *Watched) observe(ctx context.Context, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	w.health.Observe(served(err))
+}
+
+// served says whether the store answered for its contents.
+func served(err error) bool {
+	var sequence *SequenceError
+	switch {
+	case err == nil, errors.As(err, &sequence):
+		return true
+	case errors.Is(err, ErrFenced), errors.Is(err, ErrExpired), errors.Is(err, ErrMoved), errors.Is(err, ErrFull):
+		return true
+	}
+	return false
+}
+
+// Append implements Log.
+func (w *Watched) Append(ctx context.Context, topic string, partition int, records []Record, seq *Sequence) error {
+	err := w.log.Append(ctx, topic, partition, records, seq)
+	w.observe(ctx, err)
+	return err
+}
+
+// AppendAt implements Log.
+func (w *Watched) AppendAt(ctx context.Context, topic string, partition int, records []Record, end int64) error {
+	err := w.log.AppendAt(ctx, topic, partition, records, end)
+	w.observe(ctx, err)
+	return err
+}
+
+// Read implements Log.
+func (w *Watched) Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (Batch, error) {
+	batch, err := w.log.Read(ctx, topic, partition, from, wait)
+	w.observe(ctx, err)
+	return batch, err
+}
+
+// Newest implements Log.
+func (w *Watched) Newest(ctx context.Context, topic string, partition int, after string) (Page, error) {
+	page, err := w.log.Newest(ctx, topic, partition, after)
+	w.observe(ctx, err)
+	return page, err
+}
+
+// Join implements Log.
+func (w *Watched) Join(ctx context.Context, join Join) (Membership, error) {
+	m, err := w.log.Join(ctx, join)
+	w.observe(ctx, err)
+	return m, err
+}
+
+// Leave implements Log.
+func (w *Watched) Leave(ctx context.Context, group, member string) error {
+	err := w.log.Leave(ctx, group, member)
+	w.observe(ctx, err)
+	return err
+}
+
+// Owners implements Log.
+func (w *Watched) Owners(ctx context.Context, group string) ([]Owner, error) {
+	owners, err := w.log.Owners(ctx, group)
+	w.observe(ctx, err)
+	return owners, err
+}
--- /dev/null
+++ b/internal/store/health_test.go
@@ -0,0 +1,46 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestOutagesAreToldFromLostAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// calls are served or not, one each 200 ms.
+		calls []bool
+		away  bool
+	}{
+		{"nothing called yet", nil, false},
+		{"one answer in three lost", []bool{true, false, true, true, false, true, true, false}, false},
+		{"two lost in a row", []bool{true, false, false}, false},
+		{"nothing served any more", []bool{true, false, false, false, false}, true},
+		{"back", []bool{false, false, false, false, true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Duration(0)
+			h := NewHealth(func() time.Duration { return now })
+			for _, served := range c.calls {
+				now += 200 * time.Millisecond
+				h.Observe(served)
+			}
+			is.Equal(h.Away() > 0, c.away)
+		})
+	}
+}
+
+func TestFailuresAtOnceArentAnOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	h := NewHealth(func() time.Duration { return now })
+	for range 10 {
+		h.Observe(false) // connections reset at the same moment
+	}
+	is.Equal(h.Away(), time.Duration(0))
+	now += awaySilence
+	is.True(h.Away() > 0)
+}
