Notice a store's return beside calls that hang, and stay ready in an outage of all

A store that is away is probed every 150 ms, without waiting for the probe before. A daemon that asks the owners and finds them away too stays ready.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -95,6 +95,7 @@
 	pools    *unitmap.Map
 	units    *units
 	service  *intake.Service
+	outage   *outage
 	stopping chan struct{}
 }
 
@@ -120,6 +121,8 @@
 	d.service = &intake.Service{
 		Log: d.ports.Log, Units: d.units, Peers: peers, Member: d.member, UnitOf: of, Logger: d.logger,
 	}
+	d.outage = &outage{log: d.ports.Log, member: d.member, peers: peers, logger: d.logger}
+	go d.outage.run(work)
 	go d.followOperator().Run(work)
 	go d.followRegistry().Run(work)
 	go d.pools.Run(work, d.poolNames)
@@ -241,7 +244,8 @@
 		return
 	default:
 	}
-	if d.view.Catalog() == nil || !d.pools.Complete(d.poolNames()) || d.view.ConfigurationAge() > readyAge {
+	stale := d.view.ConfigurationAge() > readyAge && !d.outage.shared.Load()
+	if d.view.Catalog() == nil || !d.pools.Complete(d.poolNames()) || stale {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -141,6 +141,20 @@
 	return nil
 }
 
+// AwayRequest asks whether the store serves a daemon.
+type AwayRequest struct{}
+
+// AwayReply says for how long it hasn't; 0 means that it does.
+type AwayReply struct {
+	For time.Duration
+}
+
+// Away answers whether the store serves this daemon.
+func (s *Server) Away(_ AwayRequest, reply *AwayReply) error {
+	reply.For = s.log.Away()
+	return nil
+}
+
 // Job answers for a job's state.
 func (s *Server) Job(req JobRequest, reply *JobReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -290,6 +304,13 @@
 	return reply, err
 }
 
+// Away asks a peer whether the store serves it.
+func (c *Client) Away(ctx context.Context, address string) (AwayReply, error) {
+	var reply AwayReply
+	err := c.Call(ctx, address, service+".Away", AwayRequest{}, &reply)
+	return reply, err
+}
+
 // Call makes one call. A connection that doesn't answer in time is closed: it
 // may have gone silent for good. The reply must not be used after an error.
 func (c *Client) Call(ctx context.Context, address, method string, req, reply any) error {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	group = "owners"
+	// Group is the group whose members own units.
+	Group = "owners"
 	// ttl is how long the store keeps a silent member: half above the shortest
 	// that the platform allows, so that a lost join doesn't cost the membership.
 	ttl = 1500 * time.Millisecond
@@ -153,7 +154,7 @@
 	m.mu.Lock()
 	generation := m.generation
 	m.mu.Unlock()
-	got, err := m.log.Join(ctx, store.Join{Group: group, Member: m.name, Topics: []string{Topic}, TTL: ttl, Generation: generation})
+	got, err := m.log.Join(ctx, store.Join{Group: Group, Member: m.name, Topics: []string{Topic}, TTL: ttl, Generation: generation})
 	if err != nil {
 		m.logger.Warn("ownership.join_failed", zap.Int64("generation", generation), zap.Duration("since_confirmed", sent-m.confirmedAt()), zap.Error(err))
 		return false
@@ -235,7 +236,7 @@
 	m.held = map[int]int64{}
 	m.joined = false
 	m.mu.Unlock()
-	return m.log.Leave(ctx, group, m.name)
+	return m.log.Leave(ctx, Group, m.name)
 }
 
 // Locate returns the address of a unit's owner, or "" if none is known. Refresh
@@ -255,7 +256,7 @@
 		// The last list stands: whoever waits for a new one waits in vain.
 		return
 	}
-	rows, err := m.log.Owners(ctx, group)
+	rows, err := m.log.Owners(ctx, Group)
 	m.ownersAt = m.clock()
 	if err != nil {
 		m.logger.Warn("ownership.owners_unknown", zap.Error(err))
@@ -274,5 +275,23 @@
 	m.owners, m.stronger, m.ownersKnown = owners, len(stronger), true
 }
 
+// Peers returns the addresses of the owners known last, without this daemon's.
+func (m *Member) Peers() []string {
+	m.ownersMu.Lock()
+	defer m.ownersMu.Unlock()
+	own, _, _ := strings.Cut(m.name, nameSeparator)
+	known := map[string]bool{}
+	for _, address := range m.owners {
+		known[address] = address != "" && address != own
+	}
+	var peers []string
+	for address, is := range known {
+		if is {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 // Name returns the member's name.
 func (m *Member) Name() string { return m.name }
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -80,6 +80,39 @@
 // does.
 func (w *Watched) Away() time.Duration { return w.health.Away() }
 
+// Bounds of probes of a store that is away.
+const (
+	// probeInterval is how late a return is noticed.
+	probeInterval = 150 * time.Millisecond
+	// probeTimeout is well over an answer of a slow store (60 times 4 ms).
+	probeTimeout = 800 * time.Millisecond
+)
+
+// Probe calls the store again and again while it is away, until the context
+// ends. A probe doesn't wait for the one before: calls that were sent during an
+// outage may stay unanswered after it.
+func (w *Watched) Probe(ctx context.Context, group string) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if w.Away() > 0 {
+			go w.probeOnce(ctx, group)
+		}
+	}
+}
+
+func (w *Watched) probeOnce(ctx context.Context, group string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	// What became of it is noted by the health, and nothing else depends on it.
+	_, _ = w.Owners(ctx, group)
+}
+
 // observe notes a call's result. One that this daemon gave up by itself says
 // nothing of the store.
 func (w *Watched) observe(ctx context.Context, err error) {
