--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -29,11 +29,13 @@
 	failures int
 	// since is when the first of them ended.
 	since time.Duration
+	// returned is closed when the store serves again after an outage.
+	returned chan struct{}
 }
 
 // NewHealth returns the health of a store that is taken to serve.
 func NewHealth(clock func() time.Duration) *Health {
-	return &Health{clock: clock, servedAt: clock()}
+	return &Health{clock: clock, servedAt: clock(), returned: make(chan struct{})}
 }
 
 // Observe notes what became of a call. A refusal that says why, such as that of
@@ -43,6 +45,10 @@
 	defer h.mu.Unlock()
 	now := h.clock()
 	if served {
+		if h.away(now) > 0 {
+			close(h.returned)
+			h.returned = make(chan struct{})
+		}
 		h.servedAt, h.failures = now, 0
 		return
 	}
@@ -56,7 +62,27 @@
 func (h *Health) Away() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.clock()
+	return h.away(h.clock())
+}
+
+// untilReturn returns a context that ends when the store serves again after an
+// outage: what was sent during it may never be answered.
+func (h *Health) untilReturn(ctx context.Context) (context.Context, context.CancelFunc) {
+	h.mu.Lock()
+	returned := h.returned
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-returned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+func (h *Health) away(now time.Duration) time.Duration {
 	if h.failures < awayFailures || now-h.servedAt < awaySilence {
 		return 0
 	}
@@ -148,8 +174,11 @@
 	return err
 }
 
-// Read implements Log.
+// Read implements Log. It fails when the store returns from an outage, so that
+// readers begin anew at once.
 func (w *Watched) Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (Batch, error) {
+	ctx, cancel := w.health.untilReturn(ctx)
+	defer cancel()
 	batch, err := w.log.Read(ctx, topic, partition, from, wait)
 	w.observe(ctx, err)
 	return batch, err
--- a/internal/store/probe_test.go
+++ b/internal/store/probe_test.go
@@ -12,33 +12,59 @@
 	"github.com/beryltide/beryltide/internal/store"
 )
 
-// Calls that were sent to a silent store stay unanswered after its return. The
-// return must be noticed all the same, before they time out.
+// silent is a store whose calls hang during an outage, and stay unanswered after
+// it.
+type silent struct {
+	*memstore.Client
+	returns time.Time
+}
+
+func (s silent) hang(ctx context.Context) bool {
+	if time.Now().After(s.returns) {
+		return false
+	}
+	<-ctx.Done()
+	return true
+}
+
+func (s silent) Read(ctx context.Context, topic string, part int, from int64, wait time.Duration) (store.Batch, error) {
+	if s.hang(ctx) {
+		return store.Batch{}, store.ErrUnknown
+	}
+	return s.Client.Read(ctx, topic, part, from, wait)
+}
+
+func (s silent) Owners(ctx context.Context, group string) ([]store.Owner, error) {
+	if s.hang(ctx) {
+		return nil, store.ErrUnknown
+	}
+	return s.Client.Owners(ctx, group)
+}
+
+// The return of a store must be noticed before calls that were sent during its
+// outage time out, and reads among them begin anew.
 func TestReturnIsNoticedBesideCallsThatHang(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		const timeout = 700 * time.Millisecond
 		ctx, cancel := context.WithCancel(context.Background())
 		begin := time.Now()
-		client := memstore.New(1).Client()
-		returns := begin.Add(4 * time.Second)
-		client.SetFault(func(string) memstore.Fault {
-			if time.Now().Before(returns) {
-				time.Sleep(timeout)
-				return memstore.LoseCall
-			}
-			return memstore.None
-		})
-		log := store.Watch(client, func() time.Duration { return time.Since(begin) })
+		s := silent{Client: memstore.New(1).Client(), returns: begin.Add(4 * time.Second)}
+		log := store.Watch(s, func() time.Duration { return time.Since(begin) })
 		go log.Probe(ctx, "g")
 		for range 3 {
-			_, _ = log.Owners(ctx, "g")
+			short, end := context.WithTimeout(ctx, 300*time.Millisecond)
+			_, _ = log.Owners(short, "g")
+			end()
 		}
 		is.True(log.Away() > 0)
-		time.Sleep(time.Until(returns) - 10*time.Millisecond)
+		time.Sleep(time.Until(s.returns) - 100*time.Millisecond)
 		is.True(log.Away() > 0)
-		time.Sleep(timeout / 2)
+		_, err := log.Read(ctx, "t", 0, 0, time.Second)
+		is.True(err != nil)
+		is.True(time.Since(s.returns) < 300*time.Millisecond)
 		is.Equal(log.Away(), time.Duration(0))
+		_, err = log.Read(ctx, "t", 0, 0, 0)
+		is.NoErr(err)
 		cancel()
 		time.Sleep(time.Minute)
 		synctest.Wait()
