Don't wait for a change in the first read after an outage

Cause: a read that waits for a change confirms what is known only when it ends, a second later: starts went on at 23.3 s, 1.1 s after the store's return.

The test fails without it. Starts go on 0.2 s after the return.

--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -132,7 +132,12 @@
 func (u *Unit) follow(from int64) {
 	down := false
 	for u.ctx.Err() == nil {
-		batch, err := u.Log.Read(u.ctx, ownership.Topic, u.tenure.Unit, from, followWait)
+		wait := followWait
+		if down {
+			// Whether anything has come during the outage shows at once.
+			wait = 0
+		}
+		batch, err := u.Log.Read(u.ctx, ownership.Topic, u.tenure.Unit, from, wait)
 		switch {
 		case errors.Is(err, store.ErrExpired):
 			from = u.reread()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -66,7 +66,12 @@
 		f.Confirmed()
 		return next, nil
 	}
-	batch, err := f.Log.Read(ctx, f.Topic, 0, from, f.Wait)
+	wait := f.Wait
+	if f.down {
+		// Whether anything has changed during the outage shows at once.
+		wait = 0
+	}
+	batch, err := f.Log.Read(ctx, f.Topic, 0, from, wait)
 	if err != nil {
 		return from, err
 	}
