--- a/internal/fleetd/releaser.go
+++ b/internal/fleetd/releaser.go
@@ -26,8 +26,8 @@
 }
 
 // Release implements maintenance.Releaser.
-func (r *releaser) Release(ctx context.Context, pool, instance string) (bool, error) {
-	req := ownerrpc.InstanceRequest{Unit: r.unitOf(pool), Instance: instance}
+func (r *releaser) Release(ctx context.Context, pool string, instances []string) ([]string, error) {
+	req := ownerrpc.ReleaseRequest{Unit: r.unitOf(pool), Instances: instances}
 	var reply ownerrpc.ReleaseReply
 	err := r.ask(ctx, req.Unit, func(address string) error {
 		var err error
--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -45,9 +45,9 @@
 
 // Releaser empties instances through their pools' owners.
 type Releaser interface {
-	// Release keeps new tasks from an instance and says whether it is empty.
-	// It must be repeated to stay in force.
-	Release(ctx context.Context, pool, instance string) (empty bool, err error)
+	// Release keeps new tasks from a pool's instances and returns those that are
+	// empty. It must be repeated to stay in force.
+	Release(ctx context.Context, pool string, instances []string) (empty []string, err error)
 	// Demand tells a pool's owner what teams may run there, and returns what
 	// waits, what the instances do, and what the teams hold and use.
 	Demand(ctx context.Context, order owner.GrantOrder) (Report, error)
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -111,20 +111,34 @@
 	return nil
 }
 
-// fakeOwners release instances after some looks.
-type fakeOwners struct{}
+// fakeOwners answer slowly, one question after the other, and count them.
+type fakeOwners struct {
+	mu        sync.Mutex
+	questions int
+	takes     time.Duration
+}
 
-func (fakeOwners) Release(context.Context, string, string) (bool, error) { return true, nil }
+func (o *fakeOwners) Release(_ context.Context, _ string, instances []string) ([]string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.questions++
+	time.Sleep(o.takes)
+	return instances, nil
+}
 
-func (fakeOwners) Demand(context.Context, owner.GrantOrder) (Report, error) {
+func (*fakeOwners) Demand(context.Context, owner.GrantOrder) (Report, error) {
 	return Report{Demand: rebalance.Demand{WaitingCPU: 1, Instances: map[string]rebalance.Instance{}}}, nil
 }
 
 // hold runs a controller at an epoch until its context ends.
 func hold(ctx context.Context, s *memstore.Store, f *fakeMachines, view *fleetview.View, epoch int64) {
+	holdWith(ctx, s, f, &fakeOwners{}, view, epoch)
+}
+
+func holdWith(ctx context.Context, s *memstore.Store, f *fakeMachines, owners *fakeOwners, view *fleetview.View, epoch int64) {
 	began := time.Now()
 	c := &Controller{
-		Log: s.Client(), Machines: f, Releaser: fakeOwners{}, View: view, Clock: func() time.Duration { return time.Since(began) },
+		Log: s.Client(), Machines: f, Releaser: owners, View: view, Clock: func() time.Duration { return time.Since(began) },
 		Logger: zap.NewNop(), Tenure: ownership.Tenure{Epoch: epoch}, Name: fmt.Sprint("holder-", epoch),
 		Holds:    func(ownership.Tenure, time.Duration) bool { return ctx.Err() == nil },
 		Pace:     rate.NewLimiter(dutiesPerSecond, 1),
@@ -323,3 +337,25 @@
 		synctest.Wait()
 	})
 }
+
+// An owner that is slow to answer is asked once for all of its instances, so
+// that they don't wait for each other.
+func TestAnOwnerIsAskedOnceForAllItsInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const machines = 60
+		s, f := memstore.New(1), newFakeMachines(machines)
+		owners := &fakeOwners{takes: 200 * time.Millisecond}
+		ctx, end := context.WithCancel(context.Background())
+		begin := time.Now()
+		holdWith(ctx, s, f, owners, waveView(f, &catalog.Pool{Name: "p"}, machines), 1)
+		time.Sleep(time.Minute)
+		end()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(f.begun), machines)
+		// A quarter of the pool goes at a time, but not all come back together.
+		is.True(owners.questions < machines/4)
+		is.True(f.firstOrder.Sub(begin) < time.Second)
+	})
+}
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,8 +48,6 @@
 	ordersAtOnce = 4
 	// releaseInterval lies between two records of orders that have become old.
 	releaseInterval = 500 * time.Millisecond
-	// releasesAtOnce ask owners at the same time; an owner answers in its turn.
-	releasesAtOnce = 8
 )
 
 // order is a call about one machine.
@@ -88,29 +87,40 @@
 	return o.call(ctx, machine.Holder{Name: c.Name, Fence: c.Tenure.Epoch})
 }
 
-// released returns the machines whose instances are empty and stay so.
+// released returns the machines whose instances are empty and stay so. Each
+// pool's owner is asked once for all of its instances.
 func (c *Controller) released(ctx context.Context, machines []machine.Machine) []machine.Machine {
-	answers := make([]bool, len(machines))
-	var group errgroup.Group
-	group.SetLimit(releasesAtOnce)
-	for n, m := range machines {
-		group.Go(func() error {
-			empty, err := c.Releaser.Release(ctx, m.Pool, m.Instance)
+	asked := map[string][]string{}
+	for _, m := range machines {
+		asked[m.Pool] = append(asked[m.Pool], m.Instance)
+	}
+	var mu sync.Mutex
+	empty := map[string]bool{}
+	var wg sync.WaitGroup
+	for pool, instances := range asked {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			released, err := c.Releaser.Release(ctx, pool, instances)
 			if err != nil {
-				c.Logger.Info("machine.not_released", zap.String("machine", m.Name), zap.String("instance", m.Instance), zap.Error(err))
+				c.Logger.Info("machines.not_released", zap.String("pool", pool), zap.Int("instances", len(instances)), zap.Error(err))
+				return
 			}
-			answers[n] = err == nil && empty
-			return nil
-		})
+			mu.Lock()
+			defer mu.Unlock()
+			for _, instance := range released {
+				empty[instance] = true
+			}
+		}()
 	}
-	_ = group.Wait() // errors are logged
-	var empty []machine.Machine
-	for n, m := range machines {
-		if answers[n] {
-			empty = append(empty, m)
+	wg.Wait()
+	var ready []machine.Machine
+	for _, m := range machines {
+		if empty[m.Instance] {
+			ready = append(ready, m)
 		}
 	}
-	return empty
+	return ready
 }
 
 // intend records that machines are about to get orders. Without it none may be
--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -18,24 +18,24 @@
 
 func (a *agent) cordoned(now time.Time) bool { return now.Sub(a.cordonedAt) < cordonTTL }
 
-// Release keeps new tasks from an instance, moves its lasting tasks as far as
-// their steps may miss them, and says whether it is empty.
-func (u *Unit) Release(ctx context.Context, id string) (empty bool, err error) {
+// Release keeps new tasks from instances, moves their lasting tasks as far as
+// the steps may miss them, and returns those that are empty.
+func (u *Unit) Release(ctx context.Context, ids []string) (empty []string, err error) {
 	failed := u.ask(ctx, func() {
 		if !u.holds() || !u.loaded {
 			err = ErrNotReady
 			return
 		}
-		a := u.agents[id]
-		if a == nil {
-			// Nothing is known to run there.
-			empty = true
-			return
+		now := time.Now()
+		for _, id := range ids {
+			// Of an instance that isn't known nothing is known to run.
+			if a := u.agents[id]; a == nil || u.release(a, now) {
+				empty = append(empty, id)
+			}
 		}
-		empty = u.release(a, time.Now())
 	})
 	if failed != nil {
-		return false, failed
+		return nil, failed
 	}
 	return empty, err
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -352,9 +352,9 @@
 		d := w.own(64)
 		w.submit(jobA, lasting)
 		time.Sleep(1500 * time.Millisecond)
-		empty, err := d.unit.Release(context.Background(), "i-0")
+		empty, err := d.unit.Release(context.Background(), []string{"i-0"})
 		is.NoErr(err)
-		is.True(!empty)
+		is.Equal(len(empty), 0)
 		time.Sleep(time.Second)
 		// The other task isn't at work yet: none may be missed.
 		w.instances["i-0"].mu.Lock()
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -70,16 +70,16 @@
 	Waiting int
 }
 
-// InstanceRequest names an instance of a unit's pool.
-type InstanceRequest struct {
-	Unit     int
-	Instance string
+// ReleaseRequest names instances of a unit's pool.
+type ReleaseRequest struct {
+	Unit      int
+	Instances []string
 }
 
-// ReleaseReply says whether an instance is empty.
+// ReleaseReply says which of them are empty.
 type ReleaseReply struct {
 	Code  Code
-	Empty bool
+	Empty []string
 }
 
 // DemandRequest names a pool.
@@ -171,8 +171,8 @@
 	return nil
 }
 
-// Release empties an instance.
-func (s *Server) Release(req InstanceRequest, reply *ReleaseReply) error {
+// Release empties instances.
+func (s *Server) Release(req ReleaseRequest, reply *ReleaseReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	*reply = Release(ctx, s.units, req)
@@ -188,12 +188,12 @@
 }
 
 // Release asks a unit of this daemon.
-func Release(ctx context.Context, units Units, req InstanceRequest) ReleaseReply {
+func Release(ctx context.Context, units Units, req ReleaseRequest) ReleaseReply {
 	u := units.Unit(req.Unit)
 	if u == nil {
 		return ReleaseReply{Code: NotOwner}
 	}
-	empty, err := u.Release(ctx, req.Instance)
+	empty, err := u.Release(ctx, req.Instances)
 	return ReleaseReply{Code: codeOf(err), Empty: empty}
 }
 
@@ -284,7 +284,7 @@
 }
 
 // Release asks the owner at an address.
-func (c *Client) Release(ctx context.Context, address string, req InstanceRequest) (ReleaseReply, error) {
+func (c *Client) Release(ctx context.Context, address string, req ReleaseRequest) (ReleaseReply, error) {
 	var reply ReleaseReply
 	err := c.Call(ctx, address, service+".Release", req, &reply)
 	return reply, err
