Release nothing as an owner that may have a successor, or just had a former one

An owner that is cut off from the store trusts its tenure for 3 s, a successor may come after 1.5 s, and the lead asks whichever it finds first: both stop what the step may miss. Releases now need a tenure confirmed within the last second.

What a former owner has just stopped is listed as running until it has ended, so its successor counted it as at work. It doesn't count for 0.5 s and the platform's time for a stop after the first look at an instance.

Both tests fail without their change.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -157,7 +157,9 @@
 			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
 		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: of, Used: d.pools.Used,
-		Holds: d.member.Holds, Forget: d.member.Forget,
+		Holds:  d.member.Holds,
+		Sole:   func(t ownership.Tenure) bool { return d.member.HoldsWithin(t, ownership.SoleGrace) },
+		Forget: d.member.Forget,
 	}
 }
 
--- a/internal/owner/agent.go
+++ b/internal/owner/agent.go
@@ -58,8 +58,9 @@
 	incarnation int64
 	// reconciled says that the instance has seen this tenure's fence and has
 	// listed what it runs.
-	reconciled  bool
-	lastContact time.Time
+	reconciled   bool
+	reconciledAt time.Time
+	lastContact  time.Time
 	// unreachable since a look failed.
 	failing bool
 	// lossRecorded says that the store knows of the lost contact.
--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -12,6 +12,9 @@
 const (
 	// cordonTTL is how long a release holds without being repeated.
 	cordonTTL = 3 * time.Second
+	// orderSettles is how long an order of a former owner may take to arrive; what
+	// it stops then is listed as running for the platform's time for a stop.
+	orderSettles = 500 * time.Millisecond
 	// emptyPatience is how long tasks may take to end by themselves.
 	emptyPatience = 4 * time.Second
 )
@@ -22,7 +25,8 @@
 // the steps may miss them, and returns those that are empty.
 func (u *Unit) Release(ctx context.Context, ids []string) (empty []string, err error) {
 	failed := u.ask(ctx, func() {
-		if !u.holds() || !u.loaded {
+		// Two owners would each stop as many lasting tasks as a step may miss.
+		if !u.holds() || !u.loaded || !u.Sole(u.tenure) {
 			err = ErrNotReady
 			return
 		}
@@ -89,7 +93,8 @@
 		return false
 	}
 	a := u.agents[t.Placement.Instance]
-	if a == nil || a.failing {
+	if a == nil || a.failing || time.Since(a.reconciledAt) < orderSettles+u.Bounds.StopTimeout {
+		// What a former owner has just stopped there is still listed as running.
 		return false
 	}
 	r := a.runs[id]
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -70,9 +70,11 @@
 	log   *memstore.Client
 	unit  *Unit
 	// held says whether the daemon's tenure is confirmed.
-	mu     sync.Mutex
-	held   bool
-	cutOff map[string]bool
+	mu   sync.Mutex
+	held bool
+	// cutFromStore says that the tenure was confirmed only some time ago.
+	cutFromStore bool
+	cutOff       map[string]bool
 	// view is what the daemon knows of the fleet.
 	view *fleetview.View
 	// advised counts the instances that were asked for.
@@ -89,6 +91,7 @@
 		Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope),
 		UnitOf: func(string) int { return testUnit }, Used: func(int) bool { return true },
 		Holds:  func(ownership.Tenure) bool { return d.holds() },
+		Sole:   func(ownership.Tenure) bool { return d.holds() && !d.cutFromStore },
 		Forget: func(ownership.Tenure) { d.setHeld(false) },
 	}
 	d.unit = New(w.ctx, deps, ownership.Tenure{Unit: testUnit, Epoch: epoch})
@@ -287,6 +290,8 @@
 	runs   map[job.TaskID]*fakeRun
 	last   map[job.TaskID]int
 	ended  []instance.EndedTask
+	// startup is how long lasting tasks take until they are at work.
+	startup time.Duration
 	// takes is how long a task takes; how it ends.
 	takes time.Duration
 	how   job.End
@@ -307,9 +312,14 @@
 	run    int
 	begins time.Time
 	ends   time.Time
+	// startup is when a lasting task is at work; 0 for other tasks.
+	startup time.Duration
 }
 
 func (r *fakeRun) percent() int {
+	if r.startup > 0 {
+		return int(min(100*time.Since(r.begins)/r.startup, 100))
+	}
 	return int(100 * time.Since(r.begins) / max(r.ends.Sub(r.begins), 1))
 }
 
@@ -380,7 +390,7 @@
 		return instance.ErrLate
 	}
 	i.last[s.Task] = s.Run
-	i.runs[s.Task] = &fakeRun{run: s.Run, begins: time.Now(), ends: time.Now().Add(i.takes)}
+	i.runs[s.Task] = &fakeRun{run: s.Run, begins: time.Now(), ends: time.Now().Add(i.takes), startup: i.startup}
 	i.starts = append(i.starts, fakeStart{task: s.Task, run: s.Run, at: time.Now()})
 	return nil
 }
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -26,7 +26,7 @@
 	}
 	u.applyIncarnation(a, l, now)
 	if !a.reconciled {
-		a.reconciled = true
+		a.reconciled, a.reconciledAt = true, now
 		u.planDue = true
 	}
 	u.applyEnds(a, l.Ended, now)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -363,6 +363,64 @@
 	})
 }
 
+// An owner that hasn't reached the store lately may have a successor, which stops
+// as many lasting tasks as their step may miss. It must not stop others.
+func TestOwnerThatMayHaveASuccessorReleasesNothing(t *testing.T) {
+	inVirtualTime(t, 3, func(w *world, is *is.I) {
+		for _, i := range w.instances {
+			i.takes, i.startup = time.Hour, time.Second
+		}
+		lasting := long(3)
+		lasting.Lasting, lasting.PerInstance, lasting.MayMiss = true, 1, 1
+		d := w.own(64)
+		w.submit(jobA, lasting)
+		time.Sleep(5 * time.Second)
+		d.cutFromStore = true
+		_, err := d.unit.Release(context.Background(), []string{"i-0", "i-1", "i-2"})
+		is.Equal(err, ErrNotReady)
+		time.Sleep(time.Second)
+		is.Equal(len(w.startsOf(jobA)), 3)
+		for _, i := range w.instances {
+			i.mu.Lock()
+			is.Equal(len(i.runs), 1)
+			i.mu.Unlock()
+		}
+	})
+}
+
+// What a former owner has just stopped is listed as running for a while. Its
+// successor must not count it as at work, and stop another one.
+func TestSuccessorWaitsForItsFormersStops(t *testing.T) {
+	inVirtualTime(t, 3, func(w *world, is *is.I) {
+		for _, i := range w.instances {
+			i.takes, i.startup = time.Hour, time.Second
+		}
+		lasting := long(3)
+		lasting.Lasting, lasting.PerInstance, lasting.MayMiss = true, 1, 1
+		w.own(64)
+		w.submit(jobA, lasting)
+		time.Sleep(5 * time.Second)
+		all := []string{"i-0", "i-1", "i-2"}
+		successor := w.own(128)
+		time.Sleep(200 * time.Millisecond)
+		release := func() int {
+			_, err := successor.unit.Release(context.Background(), all)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			running := 0
+			for _, i := range w.instances {
+				i.mu.Lock()
+				running += len(i.runs)
+				i.mu.Unlock()
+			}
+			return running
+		}
+		is.Equal(release(), 3)
+		time.Sleep(2 * time.Second)
+		is.Equal(release(), 2)
+	})
+}
+
 // A queue with a policy starts tasks only where the advisor allows, and asks no
 // more than it must.
 func TestAdvisedTasksStartWithATicket(t *testing.T) {
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -81,6 +81,9 @@
 	Used func(unit int) bool
 	// Holds says whether the tenure may be acted on.
 	Holds func(ownership.Tenure) bool
+	// Sole says whether no other daemon can own the unit already. A daemon that is
+	// cut off from the store holds its tenure for longer.
+	Sole func(ownership.Tenure) bool
 	// Forget gives the tenure up.
 	Forget func(ownership.Tenure)
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -29,6 +29,10 @@
 	// Grace is how long a tenure is trusted after the last confirmed join was
 	// sent. A successor waits this long before it takes leases for ended.
 	Grace = 3 * time.Second
+	// SoleGrace is for how long after its last confirmed join was sent an owner is
+	// surely the only one: the store doesn't give its units away within the ttl,
+	// and what it has sent by then has half a second to arrive.
+	SoleGrace = time.Second
 	// epochsPerGeneration tells apart the tenures that one generation may bring.
 	epochsPerGeneration = 64
 	// ownersMaxAge bounds how old the list of owners is.
