--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -36,13 +36,9 @@
 	// configurationWait is how long a read waits for a change of the
 	// configuration; half of the shortest bound for it to be in force.
 	configurationWait = time.Second
-	// ownerRegistryPause lies between two reads of the registry, which always
-	// changes, by a daemon that owns units: a machine that has just arrived is of
-	// no use before.
-	ownerRegistryPause = 150 * time.Millisecond
-	// registryPause is the same for other daemons, which need it once they own
-	// some: young enough for starts under the shortest bound on draining.
-	registryPause = 800 * time.Millisecond
+	// registryPause lies between two reads of the registry, which always
+	// changes: a quarter of the shortest bound for a draining instance.
+	registryPause = 400 * time.Millisecond
 	// readyAge is how old the configuration may be for the daemon to be ready:
 	// two reads and their time-outs.
 	readyAge = 3 * time.Second
@@ -157,7 +153,7 @@
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Harm: millis(b.HarmMS), Notice: millis(b.NoticeMS),
-			Move:   seconds(b.MoveS) + ownerRegistryPause,
+			Move:   seconds(b.MoveS) + registryPause,
 			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
 		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: of, Used: d.pools.Used,
@@ -226,18 +222,11 @@
 
 func (d *Daemon) followRegistry() *registry.Follower {
 	return &registry.Follower{
-		Log: d.ports.Log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: d.pauseBetweenRegistries,
+		Log: d.ports.Log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: registryPause,
 		Reset: d.view.ResetRegistry, Apply: d.view.ApplyRegistry, Confirmed: d.view.ConfirmRegistry,
 	}
 }
 
-func (d *Daemon) pauseBetweenRegistries() time.Duration {
-	if d.units.anyUsed() {
-		return ownerRegistryPause
-	}
-	return registryPause
-}
-
 func (d *Daemon) server(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 }
--- a/internal/fleetd/units.go
+++ b/internal/fleetd/units.go
@@ -35,18 +35,6 @@
 
 // run works a unit, and forgets it once it has ended: one that was found fenced
 // isn't this daemon's to answer for any more, whatever the next join says.
-// anyUsed says whether this daemon owns units that have a pool.
-func (u *units) anyUsed() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for number := range u.owned {
-		if u.deps.Used(number) {
-			return true
-		}
-	}
-	return false
-}
-
 func (u *units) run(number int, unit *owner.Unit) {
 	unit.Run()
 	u.mu.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -23,8 +23,8 @@
 	Logger *zap.Logger
 	// Wait is how long a read waits for a record; 0 reads at once.
 	Wait time.Duration
-	// Pause returns what lies between two reads; nil reads again at once.
-	Pause func() time.Duration
+	// Pause lies between two reads.
+	Pause time.Duration
 	// Reset is called with all newest records at the start and whenever records
 	// were missed.
 	Reset func([]store.Record)
@@ -52,9 +52,7 @@
 		}
 		f.noteUp()
 		from = next
-		if f.Pause != nil {
-			pause.For(ctx, f.Pause())
-		}
+		pause.For(ctx, f.Pause)
 	}
 }
 
