Hand on, and in the end drop, what a predecessor of a lead ordered

The record of the last orders still named machines that a lead had moved at 29 s and that died then: its successor, which gave no orders, had none of its own to drop, and left the record as it was. A successor that did give orders dropped its predecessor's from the record at once, which was wrong the other way round.

A lead now takes over the record as its own: it stays for the handover, and goes then.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -157,10 +157,10 @@
 	for _, r := range records {
 		switch r.Key {
 		case ordersKey:
-			c.loadOrders(r, c.former)
+			c.loadOrders(r, toMove, c.former)
 			continue
 		case downKey:
-			c.loadOrders(r, c.formerDown)
+			c.loadOrders(r, toMaintain, c.formerDown)
 			continue
 		}
 		number, p, err := decodeProgress(r)
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -311,28 +311,65 @@
 	})
 }
 
+// recordedOrders returns the machines that the store names as ordered lately.
+func recordedOrders(t *testing.T, s *memstore.Store) []string {
+	page, err := s.Client().Newest(context.Background(), Topic, 0, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, r := range page.Records {
+		if r.Key != ordersKey {
+			continue
+		}
+		if err := msgpack.Unmarshal(r.Value, &names); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return names
+}
+
 // A lead that has given no orders for a while leaves its successor free to give
-// some at once.
+// some at once, whoever gave the last ones.
 func TestOldOrdersDontHoldASuccessorUp(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		machines int
+	}{
+		{"its own orders", atOnce},
+		{"its predecessor's", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, f := memstore.New(1), newFakeMachines(c.machines)
+				recordOrders(t, s, []string{"gone"}, nil)
+				ctx, end := context.WithCancel(context.Background())
+				hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 2)
+				time.Sleep(20 * time.Second)
+				end()
+				time.Sleep(time.Second)
+				is.Equal(len(f.begun), c.machines)
+				is.Equal(len(recordedOrders(t, s)), 0)
+				time.Sleep(time.Minute)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A lead that is followed within a second hands on what its predecessor ordered.
+func TestOrdersAreHandedOnOverTwoTakeovers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s, f := memstore.New(1), newFakeMachines(atOnce)
+		recordOrders(t, s, []string{"before"}, nil)
 		ctx, end := context.WithCancel(context.Background())
-		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
-		time.Sleep(20 * time.Second)
-		end()
+		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 2)
 		time.Sleep(time.Second)
-		is.Equal(len(f.begun), atOnce)
-		page, err := s.Client().Newest(context.Background(), Topic, 0, "")
-		is.NoErr(err)
-		for _, r := range page.Records {
-			if r.Key != ordersKey && r.Key != downKey {
-				continue
-			}
-			var names []string
-			is.NoErr(msgpack.Unmarshal(r.Value, &names))
-			is.Equal(len(names), 0)
-		}
+		end()
+		is.True(len(f.begun) > 0)
+		is.True(slices.Contains(recordedOrders(t, s), "before"))
 		time.Sleep(time.Minute)
 		synctest.Wait()
 	})
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -31,6 +31,7 @@
 // orderKind is what an order does to a machine.
 type orderKind int
 
+// The kinds; a machine that may have had several orders counts as the last.
 const (
 	toMove orderKind = iota
 	toMaintain
@@ -189,8 +190,10 @@
 	return []store.Record{{Key: ordersKey, Value: all}, {Key: downKey, Value: maintained}}, nil
 }
 
-// loadOrders notes the machines that a former holder may just have ordered.
-func (c *Controller) loadOrders(r store.Record, into map[string]bool) {
+// loadOrders notes the machines that a former holder may just have ordered. They
+// stay in the record until its orders are surely old: this holder may be followed
+// by the next one before.
+func (c *Controller) loadOrders(r store.Record, kind orderKind, into map[string]bool) {
 	var names []string
 	if err := msgpack.Unmarshal(r.Value, &names); err != nil {
 		c.Logger.Error("orders.unreadable", zap.String("key", r.Key), zap.Error(err))
@@ -198,7 +201,9 @@
 	}
 	for _, name := range names {
 		into[name] = true
+		c.recent[name] = lastOrder{at: time.Now(), kind: max(kind, c.recent[name].kind)}
 	}
+	c.recorded = len(c.recent)
 }
 
 // untouchable says whether a former holder's order to a machine is too fresh.
