Keep weak daemons out while a strong owner answers; test what an outage of all is

Each join deals all units anew: generations 75 to 100 within 1.5 s, units on daemons of a fifth of a core, and takeovers one after another.

A weak daemon now stays out while one stronger owner answers it; it asks up to three of those that the store lists, in 250 ms.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -92,6 +92,7 @@
 	logger   *zap.Logger
 	view     *fleetview.View
 	member   *ownership.Member
+	peers    *ownerrpc.Client
 	pools    *unitmap.Map
 	units    *units
 	service  *intake.Service
@@ -104,9 +105,14 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	view := fleetview.New(ports.Decoders, ports.Clock, logger)
 	incarnation := strconv.FormatInt(time.Now().UnixMilli(), 36)
-	member := ownership.New(ports.Log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, ports.Clock, logger)
+	peers := ownerrpc.NewClient()
+	alive := func(ctx context.Context, address string) bool {
+		_, err := peers.Away(ctx, address)
+		return err == nil
+	}
+	member := ownership.New(ports.Log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, alive, ports.Clock, logger)
 	return &Daemon{
-		settings: s, ports: ports, logger: logger, view: view, member: member,
+		settings: s, ports: ports, logger: logger, view: view, member: member, peers: peers,
 		pools: unitmap.New(ports.Log, s.Units, logger), stopping: make(chan struct{}),
 	}
 }
@@ -116,12 +122,11 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	of := d.pools.Of
-	peers := ownerrpc.NewClient()
-	d.units = newUnits(work, d.deps(of), d.lead(peers))
+	d.units = newUnits(work, d.deps(of), d.lead())
 	d.service = &intake.Service{
-		Log: d.ports.Log, Units: d.units, Peers: peers, Member: d.member, UnitOf: of, Logger: d.logger,
+		Log: d.ports.Log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: of, Logger: d.logger,
 	}
-	d.outage = &outage{log: d.ports.Log, member: d.member, peers: peers, logger: d.logger}
+	d.outage = &outage{log: d.ports.Log, member: d.member, peers: d.peers, logger: d.logger}
 	go d.outage.run(work)
 	go d.followOperator().Run(work)
 	go d.followRegistry().Run(work)
@@ -164,7 +169,7 @@
 }
 
 // lead looks after the machines while a tenure of the fleet's unit lasts.
-func (d *Daemon) lead(peers *ownerrpc.Client) func(context.Context, ownership.Tenure) {
+func (d *Daemon) lead() func(context.Context, ownership.Tenure) {
 	return func(ctx context.Context, t ownership.Tenure) {
 		for d.pools.Of(unitmap.Fleet) != t.Unit {
 			select {
@@ -173,7 +178,7 @@
 			case <-time.After(leadCheck):
 			}
 		}
-		release := &releaser{units: d.units, peers: peers, member: d.member, unitOf: d.pools.Of}
+		release := &releaser{units: d.units, peers: d.peers, member: d.member, unitOf: d.pools.Of}
 		c := &maintenance.Controller{
 			Log: d.ports.Log, Machines: d.ports.Machines, Releaser: release, View: d.view, Clock: d.ports.Clock,
 			Logger: d.logger, Tenure: t, Holds: d.member.HoldsWithin, Name: d.settings.Instance,
--- /dev/null
+++ b/internal/fleetd/outage_test.go
@@ -0,0 +1,93 @@
+package fleetd
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/beryltide/beryltide/internal/memstore"
+	"github.com/beryltide/beryltide/internal/owner"
+	"github.com/beryltide/beryltide/internal/ownerrpc"
+	"github.com/beryltide/beryltide/internal/ownership"
+	"github.com/beryltide/beryltide/internal/store"
+)
+
+type noUnits struct{}
+
+func (noUnits) Unit(int) *owner.Unit { return nil }
+
+func alwaysAlive(context.Context, string) bool { return true }
+
+// away returns a log that the store doesn't serve, and that knows it once the
+// clock goes on.
+func away(t *testing.T, client *memstore.Client, clock func() time.Duration) *store.Watched {
+	log := store.Watch(client, clock)
+	client.SetFault(func(string) memstore.Fault { return memstore.LoseCall })
+	for range 5 {
+		_, err := log.Owners(t.Context(), ownership.Group)
+		is.New(t).True(err != nil)
+	}
+	return log
+}
+
+// A daemon that is cut off alone sends its callers to others; in an outage of all
+// there are no others.
+func TestOutageIsSharedOnlyIfNoOwnerIsServed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peers []bool // whether the store serves each
+		want  bool
+	}{
+		{"no peer known", nil, false},
+		{"served peer", []bool{true}, false},
+		{"peer in the same outage", []bool{false}, true},
+		{"one of two served", []bool{false, true}, false},
+		{"both away", []bool{false, false}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Duration(0)
+			clock := func() time.Duration { return now }
+			s := memstore.New(4)
+			var logs []*store.Watched
+			for _, served := range c.peers {
+				logs = append(logs, peer(t, s, served, clock))
+			}
+			mine := s.Client()
+			member := ownership.New(store.Watch(mine, clock), "127.0.0.1:1", "1", 1, alwaysAlive, clock, zap.NewNop())
+			member.Locate(t.Context(), 0, true) // learns the owners
+			now += time.Second
+			for n, log := range logs {
+				is.Equal(log.Away() == 0, c.peers[n])
+			}
+			o := &outage{log: away(t, mine, clock), member: member, peers: ownerrpc.NewClient(), logger: zap.NewNop()}
+			is.Equal(o.peersAway(t.Context()), c.want)
+		})
+	}
+}
+
+// peer starts a daemon that owns units.
+func peer(t *testing.T, s *memstore.Store, served bool, clock func() time.Duration) *store.Watched {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	client := s.Client()
+	_, err = client.Join(context.Background(), store.Join{
+		Group: ownership.Group, Member: listener.Addr().String() + "#1#1", Topics: []string{ownership.Topic}, TTL: time.Hour,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := store.Watch(client, clock)
+	if !served {
+		log = away(t, client, clock)
+	}
+	go func() { _ = ownerrpc.Serve(listener, noUnits{}, log, zap.NewNop()) }()
+	return log
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,8 +40,11 @@
 	ownersMaxAge = time.Second
 	// ownersMinAge bounds how often a failed call may ask for it again.
 	ownersMinAge = 200 * time.Millisecond
-	// minStronger is how many stronger members let a weaker daemon stay out.
-	minStronger = 3
+	// askedOwners is how many stronger owners a weaker daemon asks whether they
+	// live; one that does lets it stay out.
+	askedOwners = 3
+	// askTimeout bounds the questions, well within the interval of joins.
+	askTimeout = 250 * time.Millisecond
 	// strongerBy is by what factor a daemon must be stronger for that.
 	strongerBy = 1.5
 	// electInterval is how often a daemon looks whether it is needed.
@@ -66,6 +70,9 @@
 	logger *zap.Logger
 
 	strength float64
+	// alive says whether the owner at an address answers. The store may go on
+	// listing owners that are gone.
+	alive func(ctx context.Context, address string) bool
 	// out says that stronger members make this daemon needless.
 	out       bool
 	electedAt time.Duration
@@ -80,18 +87,18 @@
 	ownersMu sync.Mutex
 	owners   map[int]string
 	ownersAt time.Duration
-	// stronger counts the owners that are stronger than this daemon.
-	stronger    int
+	// stronger are the addresses of owners that are stronger than this daemon.
+	stronger    []string
 	ownersKnown bool
 }
 
 // New returns a member that peers reach at an address. The incarnation tells
 // its name apart from that of an earlier process there. Strength is its share of
-// a processor: weak daemons own units only while few strong ones do.
-func New(log *store.Watched, address, incarnation string, strength float64, clock bootclock.Clock, logger *zap.Logger) *Member {
+// a processor: weak daemons own units only while no strong one does that answers.
+func New(log *store.Watched, address, incarnation string, strength float64, alive func(context.Context, string) bool, clock bootclock.Clock, logger *zap.Logger) *Member {
 	name := strings.Join([]string{address, incarnation, strconv.FormatFloat(strength, 'g', 4, 64)}, nameSeparator)
 	return &Member{
-		log: log, name: name, strength: strength, clock: clock, logger: logger,
+		log: log, name: name, strength: strength, alive: alive, clock: clock, logger: logger,
 		held: map[int]int64{}, owners: map[int]string{}, ownersAt: -ownersMaxAge,
 	}
 }
@@ -131,12 +138,12 @@
 	if !known {
 		return false
 	}
-	out := stronger >= minStronger
+	out := m.anyAlive(ctx, stronger)
 	if out == m.out {
 		return false
 	}
 	m.out = out
-	m.logger.Info("ownership.elected", zap.Bool("joins", !out), zap.Int("stronger", stronger), zap.Float64("strength", m.strength))
+	m.logger.Info("ownership.elected", zap.Bool("joins", !out), zap.Int("stronger", len(stronger)), zap.Float64("strength", m.strength))
 	if !out || !m.isJoined() {
 		return false
 	}
@@ -146,6 +153,28 @@
 	return true
 }
 
+// anyAlive says whether one of some owners answers, asked at random.
+func (m *Member) anyAlive(ctx context.Context, owners []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := min(len(owners), askedOwners)
+	answers := make(chan bool, asked)
+	for _, n := range rand.Perm(len(owners))[:asked] {
+		go func() { answers <- m.alive(ctx, owners[n]) }()
+	}
+	for range asked {
+		select {
+		case alive := <-answers:
+			if alive {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 func (m *Member) isJoined() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -268,15 +297,17 @@
 	}
 	owners := map[int]string{}
 	stronger := map[string]bool{}
+	var addresses []string
 	for _, row := range rows {
 		parts := strings.Split(row.Member, nameSeparator)
 		owners[row.Partition] = parts[0]
 		strength, err := strconv.ParseFloat(parts[len(parts)-1], 64)
-		if err == nil && strength > strongerBy*m.strength {
+		if err == nil && strength > strongerBy*m.strength && !stronger[row.Member] {
 			stronger[row.Member] = true
+			addresses = append(addresses, parts[0])
 		}
 	}
-	m.owners, m.stronger, m.ownersKnown = owners, len(stronger), true
+	m.owners, m.stronger, m.ownersKnown = owners, addresses, true
 }
 
 // Peers returns the addresses of the owners known last, without this daemon's.
