Wait only for the rest of the handover after a lead's last order to a machine

Leads change in peaks, when all machines that could help have just moved.

The record now holds how old each order was when it was written, and is written again twice a second while any matters. A successor waits for the rest: the time between the record and its takeover comes on top of it, so that no clock has to be common to both. An order counts from when it was sent, not from its record; one that is only named, by a daemon of the last version, waits in full and counts as maintenance.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -92,17 +92,14 @@
 	ledger *quota.Ledger
 	// grants numbers the words to owners.
 	grants int64
-	// recent holds the machines' last orders, former the machines to which former
-	// holders gave theirs, left alone until handover; formerDown are those of them
-	// that may be down for maintenance.
-	recent     map[string]lastOrder
-	former     map[string]bool
-	formerDown map[string]bool
+	// recent holds the machines' last orders, former those that former holders
+	// gave.
+	recent map[string]lastOrder
+	former map[string]formerOrder
 	// recorded is how many machines the record of the last orders names, and
 	// recordedAt when it was written.
 	recorded   int
 	recordedAt time.Time
-	handover   time.Duration
 	// moving holds the machines with an order to move.
 	moving map[string]movement
 	number int64
@@ -113,7 +110,7 @@
 	c.waves = map[int64]*progress{}
 	c.moving = map[string]movement{}
 	c.ledger = quota.NewLedger()
-	c.recent, c.former, c.formerDown = map[string]lastOrder{}, map[string]bool{}, map[string]bool{}
+	c.recent, c.former = map[string]lastOrder{}, map[string]formerOrder{}
 	if !c.takeOver(ctx) {
 		return
 	}
@@ -153,14 +150,9 @@
 	if err != nil {
 		return err
 	}
-	c.handover = c.Clock() + c.Handover
+	c.loadOrders(records)
 	for _, r := range records {
-		switch r.Key {
-		case ordersKey:
-			c.loadOrders(r, toMove, c.former)
-			continue
-		case downKey:
-			c.loadOrders(r, toMaintain, c.formerDown)
+		if r.Key == ordersKey || r.Key == agesKey {
 			continue
 		}
 		number, p, err := decodeProgress(r)
@@ -194,7 +186,7 @@
 		}
 	}
 	c.rebalance(ctx, configuration)
-	c.releaseOrders(ctx)
+	c.recordAges(ctx)
 }
 
 // readDemand asks the owners of all pools, and grants them what teams may run.
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -16,7 +16,7 @@
 	"github.com/beryltide/beryltide/internal/store"
 )
 
-// ordersKey is the record of the last orders to machines.
+// ordersKey is the record of the machines that had orders lately.
 //
 // A machine takes orders from whoever sends them, so two holders must not give
 // some to one machine in turn. Each order is recorded first, under the holder's
@@ -24,31 +24,46 @@
 // machines have just had one.
 const ordersKey = "orders"
 
-// downKey is the record of those among them that may be down for maintenance:
-// they count against their wave's bound, the ones that only move don't.
-const downKey = "down"
+// agesKey is the record of how old each of these orders was when it was written,
+// and what it did. A successor waits only for the rest of the handover: the time
+// between the record and its takeover comes on top, and needs no common clock.
+const agesKey = "order_ages"
+
+// orderAge is an order's part of the record.
+type orderAge struct {
+	AgeMS int64
+	// Down says that the machine may be down for maintenance: it counts against
+	// its wave's bound. One that only moves doesn't.
+	Down bool
+}
 
 // orderKind is what an order does to a machine.
 type orderKind int
 
-// The kinds; a machine that may have had several orders counts as the last.
 const (
 	toMove orderKind = iota
 	toMaintain
 )
 
-// lastOrder is a machine's last order by this holder.
+// lastOrder is a machine's last order by this holder, or by a former one.
 type lastOrder struct {
 	at   time.Time
 	kind orderKind
 }
 
+// formerOrder is a former holder's order to a machine.
+type formerOrder struct {
+	// until is when the machine may have another, on the boot clock.
+	until time.Duration
+	kind  orderKind
+}
+
 const (
 	// ordersAtOnce are sent at the same time, as many as the client of machines
 	// has connections.
 	ordersAtOnce = 4
-	// releaseInterval lies between two records of orders that have become old.
-	releaseInterval = 500 * time.Millisecond
+	// recordInterval lies between two records of how old the last orders are.
+	recordInterval = 500 * time.Millisecond
 )
 
 // order is a call about one machine.
@@ -75,6 +90,10 @@
 		})
 	}
 	_ = group.Wait() // errors are kept by order
+	sent := time.Now()
+	for _, o := range orders {
+		c.recent[o.machine] = lastOrder{at: sent, kind: o.kind}
+	}
 	return errs
 }
 
@@ -135,15 +154,15 @@
 	return c.recordOrders(ctx) && c.Holds(c.Tenure, OrderGrace)
 }
 
-// releaseOrders records that orders have become so old that a successor need not
-// wait for them: it can't tell how old a record is.
-func (c *Controller) releaseOrders(ctx context.Context) {
+// recordAges records how old the last orders are by now, until none of them is of
+// any concern to a successor.
+func (c *Controller) recordAges(ctx context.Context) {
 	now := time.Now()
-	if now.Sub(c.recordedAt) < releaseInterval {
+	if now.Sub(c.recordedAt) < recordInterval {
 		return
 	}
 	c.dropOldOrders(now)
-	if len(c.recent) < c.recorded {
+	if len(c.recent) > 0 || c.recorded > 0 {
 		c.recordOrders(ctx)
 	}
 }
@@ -172,49 +191,68 @@
 }
 
 func (c *Controller) encodeOrders() ([]store.Record, error) {
-	var down []string
+	now := time.Now()
+	ages := map[string]orderAge{}
 	for name, last := range c.recent {
-		if last.kind == toMaintain {
-			down = append(down, name)
-		}
+		ages[name] = orderAge{AgeMS: now.Sub(last.at).Milliseconds(), Down: last.kind == toMaintain}
 	}
-	slices.Sort(down)
-	all, err := msgpack.Marshal(slices.Sorted(maps.Keys(c.recent)))
+	names, err := msgpack.Marshal(slices.Sorted(maps.Keys(c.recent)))
 	if err != nil {
 		return nil, errors.Wrap(err, ordersKey)
 	}
-	maintained, err := msgpack.Marshal(down)
+	encoded, err := msgpack.Marshal(ages)
 	if err != nil {
-		return nil, errors.Wrap(err, downKey)
+		return nil, errors.Wrap(err, agesKey)
 	}
-	return []store.Record{{Key: ordersKey, Value: all}, {Key: downKey, Value: maintained}}, nil
+	return []store.Record{{Key: ordersKey, Value: names}, {Key: agesKey, Value: encoded}}, nil
 }
 
 // loadOrders notes the machines that a former holder may just have ordered. They
 // stay in the record until its orders are surely old: this holder may be followed
 // by the next one before.
-func (c *Controller) loadOrders(r store.Record, kind orderKind, into map[string]bool) {
+func (c *Controller) loadOrders(records []store.Record) {
 	var names []string
-	if err := msgpack.Unmarshal(r.Value, &names); err != nil {
-		c.Logger.Error("orders.unreadable", zap.String("key", r.Key), zap.Error(err))
-		return
+	ages := map[string]orderAge{}
+	for _, r := range records {
+		var err error
+		switch r.Key {
+		case ordersKey:
+			err = msgpack.Unmarshal(r.Value, &names)
+		case agesKey:
+			err = msgpack.Unmarshal(r.Value, &ages)
+		}
+		if err != nil {
+			c.Logger.Error("orders.unreadable", zap.String("key", r.Key), zap.Error(err))
+		}
 	}
+	now, clock := time.Now(), c.Clock()
 	for _, name := range names {
-		into[name] = true
-		c.recent[name] = lastOrder{at: time.Now(), kind: max(kind, c.recent[name].kind)}
+		age, known := ages[name]
+		kind := toMove
+		if age.Down || !known {
+			// Of an order that is only named it isn't known what it did.
+			kind = toMaintain
+		}
+		old := min(time.Duration(age.AgeMS)*time.Millisecond, c.Handover)
+		c.former[name] = formerOrder{until: clock + c.Handover - old, kind: kind}
+		c.recent[name] = lastOrder{at: now.Add(-old), kind: kind}
 	}
 	c.recorded = len(c.recent)
 }
 
 // untouchable says whether a former holder's order to a machine is too fresh.
 func (c *Controller) untouchable(name string) bool {
-	return c.former[name] && c.Clock() < c.handover
+	former, ordered := c.former[name]
+	return ordered && c.Clock() < former.until
 }
 
 // downElsewhere says whether a machine is down for maintenance, or may be, by a
 // former holder's order.
 func (c *Controller) downElsewhere(name string) bool {
-	return c.listed[name].State == machine.Maintenance || c.formerDown[name] && c.Clock() < c.handover
+	if c.listed[name].State == machine.Maintenance {
+		return true
+	}
+	return c.untouchable(name) && c.former[name].kind == toMaintain
 }
 
 // append records under the tenure's epoch.
