Read what tests share under its lock

The race detector found the count of machines that have begun read while the controller still works; the flag of a daemon that is cut from the store was the same kind of fault.

--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -130,6 +130,13 @@
 	return Report{Demand: rebalance.Demand{WaitingCPU: 1, Instances: map[string]rebalance.Instance{}}}, nil
 }
 
+// count returns how many machines have begun.
+func (f *fakeMachines) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.begun)
+}
+
 // hold runs a controller at an epoch until its context ends.
 func hold(ctx context.Context, s *memstore.Store, f *fakeMachines, view *fleetview.View, epoch int64) {
 	holdWith(ctx, s, f, &fakeOwners{}, view, epoch)
@@ -351,7 +358,7 @@
 				time.Sleep(20 * time.Second)
 				end()
 				time.Sleep(time.Second)
-				is.Equal(len(f.begun), c.machines)
+				is.Equal(f.count(), c.machines)
 				is.Equal(len(recordedOrders(t, s)), 0)
 				time.Sleep(time.Minute)
 				synctest.Wait()
@@ -370,7 +377,7 @@
 		hold(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 2)
 		time.Sleep(time.Second)
 		end()
-		is.True(len(f.begun) > 0)
+		is.True(f.count() > 0)
 		is.True(slices.Contains(recordedOrders(t, s), "before"))
 		time.Sleep(time.Minute)
 		synctest.Wait()
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -91,7 +91,7 @@
 		Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope),
 		UnitOf: func(string) int { return testUnit }, Used: func(int) bool { return true },
 		Holds:  func(ownership.Tenure) bool { return d.holds() },
-		Sole:   func(ownership.Tenure) bool { return d.holds() && !d.cutFromStore },
+		Sole:   func(ownership.Tenure) bool { return d.sole() },
 		Forget: func(ownership.Tenure) { d.setHeld(false) },
 	}
 	d.unit = New(w.ctx, deps, ownership.Tenure{Unit: testUnit, Epoch: epoch})
@@ -117,6 +117,20 @@
 	return d.held
 }
 
+// sole says whether the daemon's tenure was confirmed lately.
+func (d *daemon) sole() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held && !d.cutFromStore
+}
+
+// cutStore lets the daemon hold its tenure without a confirmation.
+func (d *daemon) cutStore() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cutFromStore = true
+}
+
 func (d *daemon) setHeld(held bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -375,7 +375,7 @@
 		d := w.own(64)
 		w.submit(jobA, lasting)
 		time.Sleep(5 * time.Second)
-		d.cutFromStore = true
+		d.cutStore()
 		_, err := d.unit.Release(context.Background(), []string{"i-0", "i-1", "i-2"})
 		is.Equal(err, ErrNotReady)
 		time.Sleep(time.Second)
