--- a/internal/owner/agent.go
+++ b/internal/owner/agent.go
@@ -61,6 +61,8 @@
 	reconciled   bool
 	reconciledAt time.Time
 	lastContact  time.Time
+	// knownSince is when this tenure first knew of the instance.
+	knownSince time.Time
 	// unreachable since a look failed.
 	failing bool
 	// lossRecorded says that the store knows of the lost contact.
@@ -139,7 +141,7 @@
 		unit: u, reg: reg, listed: listed, runs: map[job.TaskID]*run{},
 		nextLook: make(chan cursor, 1), orders: make(chan order, orderBuffer),
 	}
-	a.idleSince = time.Now()
+	a.idleSince, a.knownSince = time.Now(), time.Now()
 	a.ctx, a.cancel = context.WithCancel(u.ctx)
 	a.target.Store(&reg)
 	// A former owner may have extended the lease for as long as it trusted its
@@ -384,7 +386,7 @@
 		if len(a.runs) == 0 || now.Sub(a.lastContact) < contactLost || int64(u.Clock()) < a.leaseBound.Load() {
 			continue
 		}
-		u.Logger.Warn("instance.leases_lapsed", zap.String("instance", a.reg.ID), zap.Int("runs", len(a.runs)), zap.Duration("without_contact", now.Sub(a.lastContact)))
+		u.Logger.Warn("instance.leases_lapsed", zap.String("instance", a.reg.ID), zap.Int("runs", len(a.runs)), zap.Duration("without_contact", a.silentFor(now)))
 		for id := range a.runs {
 			u.endRun(a, id, job.EndLapsed, "", now)
 		}
--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -82,7 +82,7 @@
 // of the loss.
 func (u *Unit) regain(a *agent, now time.Time) {
 	if a.failing {
-		u.Logger.Info("instance.regained", zap.String("instance", a.reg.ID), zap.Duration("after", now.Sub(a.lastContact)))
+		u.Logger.Info("instance.regained", zap.String("instance", a.reg.ID), zap.Duration("after", a.silentFor(now)))
 	}
 	a.failing = false
 	if !a.lossRecorded {
@@ -119,3 +119,11 @@
 	u.losses[a.reg.ID] = *l
 	u.commit.extra = append(u.commit.extra, store.Record{Key: key, Value: value})
 }
+
+// silentFor is for how long the instance hasn't answered this tenure.
+func (a *agent) silentFor(now time.Time) time.Duration {
+	if a.lastContact.IsZero() {
+		return now.Sub(a.knownSince)
+	}
+	return now.Sub(a.lastContact)
+}
