Give each unit's partition a health of its own

Joins and other reads were served, so the store wasn't taken to be away, and submissions to the silent units were held for their callers' time.

Appends to a unit, here and through its owner, now count towards a health of that unit. While it is away its submissions are refused at once, as not run, and an append at an offset at which no partition ends shows its return: it is answered and has no effect, so that no caller's request is put at risk. Failures count only if some time lies between the first and the last, and not for long: seldom called units would otherwise be refused for failures of long ago.

--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -49,7 +49,7 @@
 			return nil
 		}
 		doubt = doubt || mayBeDone(err)
-		if away := s.Log.Away(); away > 0 && !doubt {
+		if away := s.away(unit); away > 0 && !doubt {
 			return errors.Wrapf(ErrNotRun, "the store hasn't answered for %d ms", away.Milliseconds())
 		}
 		if pause.For(ctx, storeRetry) {
@@ -124,6 +124,8 @@
 	switch {
 	case s.Log.Away() > 0:
 		tries = tries[1:]
+	case s.unitAway(unit) > 0:
+		return errors.Wrap(store.ErrNotDone, "the unit's partition isn't served")
 	case time.Now().UnixMilli() < s.avoidStore.Load():
 		tries[0], tries[1] = tries[1], tries[0]
 	}
@@ -144,6 +146,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
 	err := s.Log.Append(ctx, ownership.Topic, unit, records, nil)
+	s.observe(unit, err)
 	if err != nil {
 		s.Logger.Info("intake.store_failed", zap.Int("unit", unit), zap.Int("records", len(records)), zap.Error(err))
 		s.avoidStore.Store(time.Now().Add(avoidFor).UnixMilli())
@@ -163,14 +166,16 @@
 		return errors.Wrap(store.ErrNotDone, "no owner known")
 	}
 	reply, err := s.Peers.Store(ctx, address, ownerrpc.StoreRequest{Unit: unit, Records: records})
+	if err == nil && reply.Code == ownerrpc.OK {
+		s.observe(unit, nil)
+		return nil
+	}
+	s.observe(unit, store.ErrUnknown)
 	if errors.Is(err, ownerrpc.ErrUnsent) {
 		return errors.Wrap(store.ErrNotDone, err.Error())
 	}
 	if err != nil {
 		return errors.Wrap(store.ErrUnknown, err.Error())
 	}
-	if reply.Code != ownerrpc.OK {
-		return errors.Wrap(store.ErrNotDone, "the owner can't store either")
-	}
-	return nil
+	return errors.Wrap(store.ErrNotDone, "the owner can't store either")
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -55,6 +55,8 @@
 
 	// avoidStore is the Unix millisecond until which peers store first.
 	avoidStore atomic.Int64
+	// unitHealths holds a *unitHealth for each unit.
+	unitHealths sync.Map
 	// batches holds a *batch for each unit.
 	batches sync.Map
 }
@@ -71,7 +73,7 @@
 // length is as likely as not to last as long again as it has so far. Callers
 // are spread over a second, so that they don't return as a wave.
 func (s *Service) RetryAfter() time.Duration {
-	wait := min(max(s.Log.Away(), earliestRetry), latestRetry)
+	wait := min(max(s.longestAway(), earliestRetry), latestRetry)
 	return wait + rand.N(earliestRetry)
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -198,3 +198,32 @@
 		is.True(last-first > earliestRetry/2)
 	})
 }
+
+// A store that serves some partitions only is away for the units of the others.
+// Their submissions are refused at once, without a try that a caller would have to
+// doubt, until a probe finds them served.
+func TestUnitWhosePartitionIsntServedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(4)
+		client := s.Client()
+		service := service(client)
+		client.SetFault(loseAppends)
+		first, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		is.True(errors.Is(service.Submit(first, submission()), ErrMayRun))
+		_, err := service.Log.Owners(t.Context(), "owners") // it serves the rest
+		is.NoErr(err)
+		is.Equal(service.Log.Away(), time.Duration(0))
+		begin := time.Now()
+		second, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		is.True(errors.Is(service.Submit(second, submission()), ErrNotRun))
+		is.True(time.Since(begin) < 50*time.Millisecond)
+		client.SetFault(nil)
+		time.Sleep(2 * unitProbeInterval)
+		is.True(!stored(t, s)) // probes have no effect
+		is.NoErr(service.Submit(t.Context(), submission()))
+		synctest.Wait()
+	})
+}
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -15,6 +15,11 @@
 	// awaySilence is for how long nothing may have been served for it: well over
 	// an answer of a slow store (60 times 4 ms).
 	awaySilence = 500 * time.Millisecond
+	// awaySpan is what lies between the first failure and the last one at least:
+	// connections that are reset together fail together.
+	awaySpan = 300 * time.Millisecond
+	// failureKept is how long the last failure counts while nothing is called.
+	failureKept = 2 * time.Second
 )
 
 // Health tells whether the store serves this daemon, from what becomes of its
@@ -22,20 +27,24 @@
 // noticed without any caller's request.
 type Health struct {
 	clock func() time.Duration
+	// enough failures in a row are an outage.
+	enough int
 
 	mu sync.Mutex
 	// servedAt is when a call was last served, failures counts those since.
 	servedAt time.Duration
 	failures int
-	// since is when the first of them ended.
-	since time.Duration
+	// since is when the first of them ended, failedAt when the last one did.
+	since    time.Duration
+	failedAt time.Duration
 	// returned is closed when the store serves again after an outage.
 	returned chan struct{}
 }
 
-// NewHealth returns the health of a store that is taken to serve.
-func NewHealth(clock func() time.Duration) *Health {
-	return &Health{clock: clock, servedAt: clock(), returned: make(chan struct{})}
+// NewHealth returns the health of a store that is taken to serve, until some calls
+// in a row have failed.
+func NewHealth(clock func() time.Duration, failures int) *Health {
+	return &Health{clock: clock, enough: failures, servedAt: clock(), returned: make(chan struct{})}
 }
 
 // Observe notes what became of a call. A refusal that says why, such as that of
@@ -56,6 +65,7 @@
 		h.since = now
 	}
 	h.failures++
+	h.failedAt = now
 }
 
 // Away returns for how long the store hasn't served; 0 means that it does.
@@ -83,7 +93,10 @@
 }
 
 func (h *Health) away(now time.Duration) time.Duration {
-	if h.failures < awayFailures || now-h.servedAt < awaySilence {
+	switch {
+	case h.failures < h.enough, now-h.servedAt < awaySilence:
+		return 0
+	case h.failedAt-h.since < awaySpan, now-h.failedAt > failureKept:
 		return 0
 	}
 	return max(now-h.since, time.Millisecond)
@@ -99,7 +112,7 @@
 
 // Watch observes a log's calls.
 func Watch(log Log, clock func() time.Duration) *Watched {
-	return &Watched{log: log, health: NewHealth(clock)}
+	return &Watched{log: log, health: NewHealth(clock, awayFailures)}
 }
 
 // Away returns for how long the store hasn't served this daemon; 0 means that it
@@ -139,17 +152,20 @@
 	_, _ = w.Owners(ctx, group)
 }
 
+// Clock returns the clock that outages are measured on.
+func (w *Watched) Clock() func() time.Duration { return w.health.clock }
+
 // observe notes a call's result. One that this daemon gave up by itself says
 // nothing of the store.
 func (w *Watched) observe(ctx context.Context, err error) {
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	w.health.Observe(served(err))
+	w.health.Observe(Served(err))
 }
 
-// served says whether the store answered for its contents.
-func served(err error) bool {
+// Served says whether the store answered for its contents.
+func Served(err error) bool {
 	var sequence *SequenceError
 	switch {
 	case err == nil, errors.As(err, &sequence):
