Read the registry only where units are owned

Every daemon read all entries of the registry, which change all the time: about 600 KB a second each, more than twice what the store's reads share (computed), so that no read of anything ended in time.

Only owners use the registry. A daemon without units now neither reads nor keeps it, and reads it anew when it gets one.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -225,9 +225,12 @@
 	}
 }
 
+// followRegistry follows the instances' entries while this daemon owns units. They
+// always change: were every daemon to read them, the store's bandwidth would go
+// with the product of daemons and instances.
 func (d *Daemon) followRegistry() *registry.Follower {
 	return &registry.Follower{
-		Log: d.ports.Log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: registryPause,
+		Log: d.ports.Log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: registryPause, Needed: d.units.anyUsed,
 		Reset: d.view.ResetRegistry, Apply: d.view.ApplyRegistry, Confirmed: d.view.ConfirmRegistry,
 	}
 }
--- a/internal/fleetd/units.go
+++ b/internal/fleetd/units.go
@@ -33,6 +33,18 @@
 	return u.owned[number]
 }
 
+// anyUsed says whether this daemon owns units that have a pool.
+func (u *units) anyUsed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for number := range u.owned {
+		if u.deps.Used(number) {
+			return true
+		}
+	}
+	return false
+}
+
 // run works a unit, and forgets it once it has ended: one that was found fenced
 // isn't this daemon's to answer for any more, whatever the next join says.
 func (u *units) run(number int, unit *owner.Unit) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,6 +16,9 @@
 // retryPause lies between two tries while the store doesn't answer.
 const retryPause = 100 * time.Millisecond
 
+// neededCheck is how late it is noticed that a topic is needed again.
+const neededCheck = 50 * time.Millisecond
+
 // Follower follows partition 0 of a keyed topic.
 type Follower struct {
 	Log    store.Log
@@ -25,6 +28,9 @@
 	Wait time.Duration
 	// Pause lies between two reads.
 	Pause time.Duration
+	// Needed says whether the topic has to be followed now; nil says always. What
+	// isn't needed is forgotten, and read anew once it is.
+	Needed func() bool
 	// Reset is called with all newest records at the start and whenever records
 	// were missed.
 	Reset func([]store.Record)
@@ -40,6 +46,14 @@
 func (f *Follower) Run(ctx context.Context) {
 	from := int64(-1)
 	for ctx.Err() == nil {
+		if f.Needed != nil && !f.Needed() {
+			if from >= 0 {
+				f.Reset(nil)
+			}
+			from = -1
+			pause.For(ctx, neededCheck)
+			continue
+		}
 		next, err := f.step(ctx, from)
 		switch {
 		case errors.Is(err, store.ErrExpired):
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -40,3 +40,44 @@
 		synctest.Wait()
 	})
 }
+
+// A daemon that owns nothing reads nothing, and forgets what it had read: entries
+// of long ago would name instances that are gone.
+func TestWhatIsntNeededIsntRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		s := memstore.New(1)
+		var needed atomic.Bool
+		var known atomic.Int64
+		f := &Follower{
+			Log: s.Client(), Topic: "servers", Logger: zap.NewNop(), Pause: 400 * time.Millisecond, Needed: needed.Load,
+			Reset:     func(r []store.Record) { known.Store(int64(len(r))) },
+			Apply:     func(r []store.Record) { known.Add(int64(len(r))) },
+			Confirmed: func() {},
+		}
+		add := func(key string) {
+			is.NoErr(s.Client().Append(ctx, "servers", 0, []store.Record{{Key: key, Value: []byte{1}}}, nil))
+		}
+		add("a")
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(known.Load(), int64(0))
+		needed.Store(true)
+		time.Sleep(2 * neededCheck)
+		is.Equal(known.Load(), int64(1))
+		needed.Store(false)
+		time.Sleep(time.Second)
+		is.Equal(known.Load(), int64(0))
+		before := s.RecordsRead()
+		add("b")
+		time.Sleep(time.Minute)
+		is.Equal(s.RecordsRead(), before)
+		needed.Store(true)
+		time.Sleep(2 * neededCheck)
+		is.Equal(known.Load(), int64(2))
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
