--- a/Makefile
+++ b/Makefile
@@ -73,4 +73,4 @@
 
 # Two short seeds, in every check.
 soak-short:
-	@.ci/soak $(GO) run ./tools/soak -seeds 7,8 -length 6s -parallel 2
+	$(GO) run ./tools/soak -seeds 7,8 -length 6s -parallel 2
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,8 +54,10 @@
 	callersAddress string
 	storeClient    *memstore.Client
 	storeProxy     *proxy
-	cmd            *exec.Cmd
-	logFile        *os.File
+	// cmd is the newest start that succeeded; nil before the first. Faults read it
+	// while another one restarts the process.
+	cmd     atomic.Pointer[exec.Cmd]
+	logFile *os.File
 	// mu lets only one fault at a time restart the process.
 	mu sync.Mutex
 }
@@ -180,21 +183,36 @@
 }
 
 func (p *process) start(binary string) error {
-	p.cmd = exec.Command(binary, "fleet", "--settings", p.settingsFile)
-	p.cmd.Stdout, p.cmd.Stderr = p.logFile, p.logFile
-	return errors.Wrap(p.cmd.Start(), p.name)
+	cmd := exec.Command(binary, "fleet", "--settings", p.settingsFile)
+	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, p.name)
+	}
+	p.cmd.Store(cmd)
+	return nil
 }
 
-// signal sends a signal to the process, unless it has ended.
+// signal sends a signal to the process, unless it hasn't started or has ended.
 func (p *process) signal(s syscall.Signal) {
-	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	cmd := p.cmd.Load()
+	if cmd == nil {
+		return
+	}
+	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		fmt.Fprintln(os.Stderr, p.name, err)
 	}
 }
 
+// wait waits for the process to end.
+func (p *process) wait() {
+	if cmd := p.cmd.Load(); cmd != nil {
+		_ = cmd.Wait() // it ended by a fault
+	}
+}
+
 // restart waits for the process to end and starts it again.
 func (p *process) restart(binary string) error {
-	_ = p.cmd.Wait() // it ended by a fault
+	p.wait()
 	return p.start(binary)
 }
 
@@ -203,7 +221,7 @@
 	for _, p := range h.daemons {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
-		_ = p.cmd.Wait()
+		p.wait()
 		_ = p.logFile.Close()
 	}
 	h.cancel()
