Keep a round's cost to what may still start

Cause: a round visited all jobs kept for their state, added up all runs of all instances, looked again at every waiting task after placing a few, and built log fields that the sampler dropped. Change: active jobs and the usage of an instance are kept as they change; only jobs that were placed are trimmed; fields of tasks.placed are built when the line is written; rounds come rarer the longer they take, up to 50 ms, so that they leave time for calls.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -54,12 +54,7 @@
 }
 
 func (s *session) describe(now time.Time) rebalance.Instance {
-	i := rebalance.Instance{ID: s.reg.ID, Runs: len(s.runs)}
-	for _, r := range s.runs {
-		if r.step.Lasting {
-			i.Lasting++
-		}
-	}
+	i := rebalance.Instance{ID: s.reg.ID, Runs: len(s.runs), Lasting: s.usage.longRunning}
 	if len(s.runs) == 0 && !s.idleSince.IsZero() {
 		i.IdleFor = now.Sub(s.idleSince)
 	}
--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,12 +15,13 @@
 // logPlaced logs where a round starts a step's tasks, and the version of the
 // configuration and the age of the registry that the decision is based on.
 func (u *Unit) logPlaced(c *schedule.Candidate, tasks int, nodes map[string]bool, now time.Time) {
-	names := make([]string, 0, len(nodes))
-	for id := range nodes {
-		names = append(names, id)
+	// At a peak most of these lines are left out: then their fields cost nothing.
+	line := u.Logger.Check(zap.InfoLevel, "tasks.placed")
+	if line == nil {
+		return
 	}
-	slices.Sort(names)
-	u.Logger.Info("tasks.placed", zap.String("job", c.Job), zap.Int("occurrence", c.Occurrence), zap.Int("step", c.Number), zap.Int("tasks", tasks),
+	names := slices.Sorted(maps.Keys(nodes))
+	line.Write(zap.String("job", c.Job), zap.Int("occurrence", c.Occurrence), zap.Int("step", c.Number), zap.Int("tasks", tasks),
 		zap.String("instances", strings.Join(names, ",")), zap.Int("class", int(c.Class)), zap.Duration("waited", now.Sub(c.WaitingSince)),
 		zap.Int64("configuration", u.View.Catalog().Version), zap.Duration("registry_age", u.View.RegistryAge()))
 }
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -133,7 +133,7 @@
 // endRun ends a recorded run.
 func (u *Unit) endRun(sess *session, id job.TaskID, how job.End, checkpoint string, now time.Time) {
 	r := sess.runs[id]
-	delete(sess.runs, id)
+	sess.removeRun(id)
 	sess.idleSince = now
 	u.planDue = true
 	e := u.jobs[id.Job]
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -175,7 +175,7 @@
 			u.allowances.add(e.job.Submission, step.Need)
 			// The run counts as resolved: the first poll raises the fence, so no start
 			// of a former owner can be carried out after it.
-			sess.runs[id] = &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, stopping: !e.job.Active(), pacePercent: fullPace}
+			sess.addRun(id, &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, stopping: !e.job.Active(), pacePercent: fullPace})
 		})
 	}
 }
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -79,7 +79,7 @@
 			err = ErrNotReady
 			return
 		}
-		for _, e := range u.jobs {
+		for _, e := range u.active {
 			if e.job.Submission.Queue == queue && !e.startRecorded && e.job.Active() {
 				waiting++
 			}
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,14 +19,22 @@
 		return
 	}
 	now := time.Now()
-	if u.planDue && now.Sub(u.lastRoundAt) >= minRoundInterval && u.holds() && u.upToDate() {
+	if u.planDue && now.Sub(u.lastRoundAt) >= u.roundInterval() && u.holds() && u.upToDate() {
 		u.planDue = false
 		u.lastRoundAt = now
 		u.plan(now)
+		u.roundTook = time.Since(now)
 	}
 	u.flush()
 }
 
+// roundInterval returns the time from one round to the next. The longer rounds
+// take, the rarer they are, so that a long queue leaves time for the calls to
+// instances.
+func (u *Unit) roundInterval() time.Duration {
+	return min(max(minRoundInterval, u.roundTook*inverseRoundShare), maxRoundInterval)
+}
+
 // plan places the waiting tasks of all pools.
 func (u *Unit) plan(now time.Time) {
 	c := u.View.Catalog()
@@ -35,11 +44,14 @@
 	u.measureBacklog()
 	byPool := map[string][]*schedule.Candidate{}
 	u.remainingAllowance = map[teamPool]*job.Resources{}
-	for _, e := range u.jobs {
-		if !e.job.Active() || e.job.Timed() && now.Before(e.nextDue) && !e.job.Started() {
-			continue
+	for id, e := range u.active {
+		switch {
+		case !e.job.Active():
+			delete(u.active, id)
+		case e.job.Timed() && now.Before(e.nextDue) && !e.job.Started():
+		default:
+			u.collectCandidates(e, c, now, byPool)
 		}
-		u.collectCandidates(e, c, now, byPool)
 	}
 	u.waiting = byPool
 	for pool, candidates := range byPool {
@@ -47,8 +59,8 @@
 		plan := schedule.Plan(now, candidates, nodes)
 		u.logPlan(candidates, nodes, plan, now)
 		u.place(plan, now)
+		u.waiting[pool] = u.withoutPlaced(candidates, plan)
 	}
-	u.dropPlaced()
 }
 
 // measureBacklog computes how long the work that the last round left waiting
@@ -74,17 +86,18 @@
 	}
 }
 
-// dropPlaced removes placed tasks from waiting.
-func (u *Unit) dropPlaced() {
-	for pool, candidates := range u.waiting {
-		var unplaced []*schedule.Candidate
-		for _, c := range candidates {
-			if c.Trim(u.isWaiting); len(c.Tasks) > 0 {
-				unplaced = append(unplaced, c)
-			}
-		}
-		u.waiting[pool] = unplaced
+// withoutPlaced returns the candidates with the tasks that a plan leaves waiting.
+func (u *Unit) withoutPlaced(candidates []*schedule.Candidate, plan []schedule.Assignment) []*schedule.Candidate {
+	placed := map[string]bool{}
+	for _, s := range plan {
+		placed[s.Task.Job] = true
 	}
+	return slices.DeleteFunc(candidates, func(c *schedule.Candidate) bool {
+		if placed[c.Job] {
+			c.Trim(u.isWaiting)
+		}
+		return len(c.Tasks) == 0
+	})
 }
 
 func (u *Unit) isWaiting(id job.TaskID) bool {
@@ -226,16 +239,8 @@
 		}
 		n := &schedule.Node{
 			ID: sess.reg.ID, Rack: sess.reg.Rack, DataCentre: sess.reg.DataCentre, Labels: sess.reg.Labels,
-			Capacity: sess.reg.Capacity, Free: sess.reg.Capacity.Sub(sess.used()), Suspect: sess.suspect(now),
-		}
-		for _, r := range sess.runs {
-			switch {
-			case r.step.Fills:
-				n.BackfillTasks++
-			case r.step.Lasting:
-				n.LongRunningTasks++
-				n.LongRunningCPU += r.need.CPU
-			}
+			Capacity: sess.reg.Capacity, Free: sess.reg.Capacity.Sub(sess.usage.allocated), Suspect: sess.suspect(now),
+			BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunningCPU: sess.usage.longRunningCPU,
 		}
 		nodes = append(nodes, n)
 	}
@@ -257,7 +262,7 @@
 		}
 		e.job.Place(s.Task, number, job.Placement{Instance: s.Node, Incarnation: sess.incarnation})
 		r := &run{number: number, need: step.Allocation(), step: step, pacePercent: fullPace}
-		sess.runs[s.Task] = r
+		sess.addRun(s.Task, r)
 		u.allowances.add(e.job.Submission, step.Need)
 		u.markDirty(e)
 		u.afterCommit(func() { u.sendStart(sess, s.Task, r, s.Ticket, 0) })
@@ -284,7 +289,7 @@
 		if u.commit.dirty[id] != nil {
 			continue
 		}
-		delete(u.jobs, id)
+		u.forget(id)
 		u.dropAdvice(id)
 		for _, prefix := range []string{progressPrefix, SubmissionPrefix, CancelPrefix} {
 			u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: prefix + id})
--- /dev/null
+++ b/internal/owner/round_bench_test.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/beryltide/beryltide/internal/catalog"
+	"github.com/beryltide/beryltide/internal/fleetview"
+	"github.com/beryltide/beryltide/internal/instance"
+	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/ownership"
+	"github.com/beryltide/beryltide/internal/store"
+)
+
+// peakUnit is a unit in its pool's peak: usable instances of 16 cores, each with
+// seven runs, jobs that finished earlier, and jobs of two steps that wait.
+func peakUnit(instances, finished, waiting int) *Unit {
+	c := catalog.New(1)
+	c.AddQueue(&catalog.Queue{Name: testQueue, Pool: testPool, MaxFailures: 3, Stretch: 2, TargetLatency: time.Second})
+	begin := time.Now()
+	view := fleetview.New(fleetview.Decoders{Operator: func(string, []byte) (catalog.OperatorRecord, error) {
+		return catalog.OperatorRecord{Catalog: c}, nil
+	}}, func() time.Duration { return time.Since(begin) }, zap.NewNop())
+	view.ResetOperator([]store.Record{{Key: "config", Value: []byte{1}}})
+	u := New(context.Background(), Deps{View: view, Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope)}, ownership.Tenure{})
+	now := time.Now()
+	step := job.Step{Count: 8, Need: job.Resources{CPU: 2100}, Estimate: 800 * time.Millisecond}
+	for i := range instances {
+		sess := &session{unit: u, reg: instance.Registration{ID: fmt.Sprint("i-", i), Pool: testPool, Rack: fmt.Sprint("r", i/20), Capacity: job.Resources{CPU: 16_000, Memory: 32_000}}, listed: true, reconciled: true, lastContact: now.Add(time.Hour)}
+		for n := range 7 {
+			sess.addRun(job.TaskID{Job: fmt.Sprint("running-", i), Index: n}, &run{number: 1, need: step.Allocation(), step: &step})
+		}
+		u.sessions[sess.reg.ID] = sess
+	}
+	for i := range finished + waiting {
+		second := step
+		second.After = []int{0}
+		s := &job.Submission{ID: fmt.Sprint("j-", i), Queue: testQueue, Pool: testPool, Steps: []job.Step{step, second}, AcceptedAt: now.UnixMilli()}
+		s.Steps[0].Need.CPU = 1500 + i%1300
+		e := newEntry(s)
+		u.addEntry(e)
+		u.observeWork(e)
+		e.job.Advance(now)
+		if i < finished {
+			e.job.Cancel()
+		}
+	}
+	return u
+}
+
+func BenchmarkRound(b *testing.B) {
+	u := peakUnit(700, 3000, 250)
+	now := time.Now()
+	for b.Loop() {
+		u.plan(now)
+	}
+}
--- /dev/null
+++ b/internal/owner/runs.go
@@ -0,0 +1,50 @@
+package owner
+
+import (
+	"github.com/beryltide/beryltide/internal/job"
+)
+
+// usage is what the recorded runs of an instance take.
+type usage struct {
+	allocated job.Resources
+	// longRunning and backfill count the runs of such tasks.
+	longRunning, backfill int
+	// longRunningCPU is the allocation of the long-running tasks, in thousandths of
+	// a core.
+	longRunningCPU int
+}
+
+// addRun records a run at the instance.
+func (s *session) addRun(id job.TaskID, r *run) {
+	if s.runs == nil {
+		s.runs = map[job.TaskID]*run{}
+	}
+	s.removeRun(id)
+	s.runs[id] = r
+	s.usage.count(r, 1)
+}
+
+// removeRun forgets a task's run at the instance, if there is one.
+func (s *session) removeRun(id job.TaskID) {
+	r := s.runs[id]
+	if r == nil {
+		return
+	}
+	delete(s.runs, id)
+	s.usage.count(r, -1)
+}
+
+func (v *usage) count(r *run, by int) {
+	if by > 0 {
+		v.allocated = v.allocated.Add(r.need)
+	} else {
+		v.allocated = v.allocated.Sub(r.need)
+	}
+	switch {
+	case r.step.Fills:
+		v.backfill += by
+	case r.step.Lasting:
+		v.longRunning += by
+		v.longRunningCPU += by * r.need.CPU
+	}
+}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -71,7 +71,10 @@
 	// lastApplied is the number of the last end applied, lastRecorded that of the
 	// last end recorded in the store.
 	lastApplied, lastRecorded int64
-	runs                      map[job.TaskID]*run
+	// runs are the recorded runs, usage what they take. addRun and removeRun change
+	// both.
+	runs  map[job.TaskID]*run
+	usage usage
 	// strays counts the listed runs that the unit has no record of.
 	strays     int
 	failStreak int
@@ -142,7 +145,7 @@
 
 func (u *Unit) newSession(reg instance.Registration, listed bool) *session {
 	sess := &session{
-		unit: u, reg: reg, listed: listed, runs: map[job.TaskID]*run{},
+		unit: u, reg: reg, listed: listed,
 		nextPoll: make(chan ackCursor, 1), orders: make(chan order, orderBuffer),
 	}
 	sess.idleSince, sess.knownSince = time.Now(), time.Now()
@@ -315,15 +318,6 @@
 		!s.cordoned(now) && now.Sub(s.lastContact) < contactTimeout
 }
 
-// used returns the capacity taken by recorded runs.
-func (s *session) used() job.Resources {
-	var sum job.Resources
-	for _, r := range s.runs {
-		sum = sum.Add(r.need)
-	}
-	return sum
-}
-
 // syncSessions creates, updates and removes sessions as the registry changes.
 func (u *Unit) syncSessions(now time.Time) {
 	listed := u.View.Instances()
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -110,7 +110,7 @@
 	if err := e.job.Restore(data, now); err != nil {
 		// A job whose progress can't be read must not run again.
 		u.Logger.Error("job.progress_unreadable", zap.String("job", e.job.ID()), zap.Error(err))
-		delete(u.jobs, e.job.ID())
+		u.forget(e.job.ID())
 		return
 	}
 	e.recordedState = e.job.State()
@@ -216,7 +216,7 @@
 		return nil
 	}
 	e := newEntry(s)
-	u.jobs[id] = e
+	u.addEntry(e)
 	u.observeWork(e)
 	u.observeArrival(e, now)
 	if u.earlyCancels[id] {
@@ -227,6 +227,18 @@
 	return e
 }
 
+// addEntry adds a job to those that the unit keeps.
+func (u *Unit) addEntry(e *entry) {
+	u.jobs[e.job.ID()] = e
+	u.active[e.job.ID()] = e
+}
+
+// forget removes a job from those that the unit keeps.
+func (u *Unit) forget(id string) {
+	delete(u.jobs, id)
+	delete(u.active, id)
+}
+
 func newEntry(s *job.Submission) *entry {
 	e := &entry{job: job.New(s), recordedState: job.Queued, timed: s.Occurrences > 0}
 	for _, step := range s.Steps {
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -31,6 +31,10 @@
 	// minRoundInterval is the shortest time between two scheduling rounds, so that
 	// changes that arrive together are recorded together.
 	minRoundInterval = 8 * time.Millisecond
+	// maxRoundInterval bounds the time between two rounds if rounds take long.
+	maxRoundInterval = 50 * time.Millisecond
+	// inverseRoundShare is the inverse of the share of time that rounds may take.
+	inverseRoundShare = 6
 	// eventBuffer is large enough for the events posted between two rounds.
 	eventBuffer = 1024
 	// retryDelay is the delay between two tries of a call to the store.
@@ -106,7 +110,11 @@
 	events chan func()
 	done   chan struct{}
 
-	jobs     map[string]*entry
+	jobs map[string]*entry
+	// active holds the jobs whose tasks may still start, so that a round's time
+	// doesn't grow with the finished jobs that are kept for their state. Jobs that
+	// end are removed by the next round.
+	active   map[string]*entry
 	sessions map[string]*session
 	// contactLosses are the instances that the store records as out of contact.
 	contactLosses map[string]contactLoss
@@ -132,6 +140,8 @@
 	// backlog is how long the waiting work keeps each pool busy.
 	backlog     map[string]time.Duration
 	lastRoundAt time.Time
+	// roundTook is how long the last round's decisions took.
+	roundTook   time.Duration
 	gaugesSetAt time.Time
 	// advice holds the advice for steps whose queue has a policy.
 	advice     map[StepID]*stepAdvice
@@ -168,7 +178,7 @@
 	u := &Unit{
 		Deps: deps, tenure: tenure,
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
-		jobs: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
+		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
 		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*forecast.Arrivals{}, workByQueue: map[string]*queueWork{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
