Tell an operator which queue takes a request, and match routes by length

Cause: nobody can read a configuration of thousands of routes any more. A match compared all prefixes of a host, and building the table of a host with 100,000 routes sorted by insertion. Change: a host's prefixes are looked up by the lengths in use, longest first; beryltide explain route asks a daemon's operations port, which answers from its active configuration and names the routes it hides.

--- a/cmd/beryltide/explain.go
+++ b/cmd/beryltide/explain.go
@@ -17,6 +17,7 @@
 		Name:      "explain",
 		Usage:     "sort the log lines about one job and show where its time went",
 		ArgsUsage: "ID [FILE ...]; without files, standard input is read",
+		Commands:  []*cli.Command{t.explainRouteCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() == 0 {
 				return errors.Wrap(errUsage, "explain: want the job's ID")
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,7 +4,6 @@
 package catalog
 
 import (
-	"strings"
 	"time"
 
 	"github.com/beryltide/beryltide/internal/job"
@@ -82,8 +81,7 @@
 
 	// teamByKey holds the names of teams by caller key.
 	teamByKey map[string]string
-	// byHost holds queues by host, longest prefix first.
-	byHost map[string][]*Queue
+	byHost    map[string]*routes
 }
 
 // New returns an empty catalog.
@@ -94,18 +92,17 @@
 		Pools:     map[string]*Pool{},
 		Teams:     map[string]*Team{},
 		teamByKey: map[string]string{},
-		byHost:    map[string][]*Queue{},
+		byHost:    map[string]*routes{},
 	}
 }
 
 // AddQueue adds a queue. It must not be called once the catalog is shared.
 func (c *Catalog) AddQueue(q *Queue) {
 	c.Queues[q.Name] = q
-	list := append(c.byHost[q.Host], q)
-	for i := len(list) - 1; i > 0 && len(list[i].Prefix) > len(list[i-1].Prefix); i-- {
-		list[i], list[i-1] = list[i-1], list[i]
+	if c.byHost[q.Host] == nil {
+		c.byHost[q.Host] = &routes{byPrefix: map[string]*Queue{}}
 	}
-	c.byHost[q.Host] = list
+	c.byHost[q.Host].add(q)
 }
 
 // AddTeam adds a team and its keys. It must not be called once the catalog is
@@ -120,12 +117,15 @@
 // Route returns the queue of a host whose prefix is the longest that matches the
 // path, and the rest of the path. It returns false if none matches.
 func (c *Catalog) Route(host, path string) (*Queue, string, bool) {
-	for _, q := range c.byHost[host] {
-		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
-			return q, rest, true
-		}
+	r := c.byHost[host]
+	if r == nil {
+		return nil, "", false
 	}
-	return nil, "", false
+	q := r.longest(path)
+	if q == nil {
+		return nil, "", false
+	}
+	return q, path[len(q.Prefix):], true
 }
 
 // TeamOfKey returns the name of the team that a key belongs to.
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -146,7 +146,7 @@
 	callers := d.server(d.ports.Callers(d.service, d.view))
 	go func() { serveErrors <- serve(callers, d.ports.CallersListener) }()
 	go func() { serveErrors <- serve(d.server(http.HandlerFunc(d.ready)), d.ports.ReadinessListener) }()
-	go func() { serveErrors <- serve(d.server(d.ports.MetricsPage), d.ports.OperationsListener) }()
+	go func() { serveErrors <- serve(d.server(d.operations()), d.ports.OperationsListener) }()
 	d.logger.Info("daemon.started", zap.String("instance", d.settings.Instance), zap.String("member", d.member.Name()))
 	select {
 	case err := <-serveErrors:
