Share machines by backlog, count whole tasks, run the control loop's parts together

Change: machines go one at a time to the pool with the longest backlog left; demand is counted in whole tasks that fit a machine and that the team may start; a move ends when its instance is usable; the list is read beside the reports and each 500 ms, with orders applied to it; 16 orders in flight; the round's time is in fleet_round_seconds.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -178,6 +178,7 @@
 // tenure of the fleet's unit until the context ends. For a tenure of another unit
 // it only waits, in case that unit becomes the fleet's.
 func (d *Daemon) fleetController() func(context.Context, ownership.Tenure) {
+	rounds := d.ports.Metrics.Histogram("fleet_round_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13))
 	return func(ctx context.Context, t ownership.Tenure) {
 		for d.pools.Of(unitmap.Fleet) != t.Unit {
 			select {
@@ -193,6 +194,7 @@
 			OrderLimiter: rate.NewLimiter(rate.Limit(orderRateShare*d.settings.DutiesPerSecond), orderBurst),
 			Handover:     maintenance.OrderGrace + millis(d.settings.Bounds.DutyLeaseMS),
 			Duration:     seconds(d.settings.Bounds.MaintenanceS),
+			RoundTook:    rounds.RecordDuration,
 			StatusTopic:  d.ports.StatusTopic, Status: d.ports.WaveStatus,
 		}
 		c.Run(ctx)
--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -29,8 +29,10 @@
 	// producer is the store's producer name, shared by all holders of the fleet's
 	// unit: an append with a higher epoch fences those with lower ones.
 	producer = "fleet"
-	// reconcileInterval is the pause between two passes of the control loop.
+	// reconcileInterval is the time from one pass of the control loop to the next.
 	reconcileInterval = 150 * time.Millisecond
+	// minReconcilePause is the least pause between two passes that take long.
+	minReconcilePause = 20 * time.Millisecond
 	// maxListAge is the age above which the list of machines is read again.
 	maxListAge = 500 * time.Millisecond
 	// OrderGrace is how long after its last confirmed join a holder may still send
@@ -84,6 +86,8 @@
 	Handover time.Duration
 	// OrderLimiter limits the orders per second sent to the platform.
 	OrderLimiter *rate.Limiter
+	// RoundTook is called with the duration of each pass of the control loop.
+	RoundTook func(time.Duration)
 	// Duration is how long the platform's maintenance of a machine takes.
 	Duration time.Duration
 	// StatusTopic is the topic in which operators find the status of waves; Status
@@ -124,10 +128,12 @@
 		return
 	}
 	for ctx.Err() == nil {
+		begin := time.Now()
 		if c.Holds(c.Tenure, OrderGrace) {
 			c.reconcile(ctx)
+			c.RoundTook(time.Since(begin))
 		}
-		pause.For(ctx, reconcileInterval)
+		pause.For(ctx, max(reconcileInterval-time.Since(begin), minReconcilePause))
 	}
 }
 
@@ -182,8 +188,14 @@
 	if configuration == nil {
 		return
 	}
+	var list listResult
+	var wg sync.WaitGroup
+	if time.Since(c.listedAt) > maxListAge {
+		wg.Go(func() { list = c.readList(ctx) })
+	}
 	c.exchangeGrants(ctx, configuration)
-	if time.Since(c.listedAt) > maxListAge && !c.listMachines(ctx) {
+	wg.Wait()
+	if !c.applyList(list) {
 		return
 	}
 	for number, wave := range c.View.OperatorState().Waves {
@@ -248,14 +260,31 @@
 	return reports, errs
 }
 
-func (c *Controller) listMachines(ctx context.Context) bool {
+// listResult is the result of reading the list of machines; wasRead is false if that
+// wasn't due.
+type listResult struct {
+	wasRead  bool
+	machines []machine.Machine
+	err      error
+}
+
+func (c *Controller) readList(ctx context.Context) listResult {
 	machines, err := c.Machines.List(ctx)
-	if err != nil {
-		c.Logger.Warn("machines.list_failed", zap.Error(err))
+	return listResult{wasRead: true, machines: machines, err: err}
+}
+
+// applyList takes over a list that was read, and reports whether the current list is
+// recent enough to act on.
+func (c *Controller) applyList(r listResult) bool {
+	if r.err != nil {
+		c.Logger.Warn("machines.list_failed", zap.Error(r.err))
 		return false
 	}
+	if !r.wasRead {
+		return c.listed != nil
+	}
 	c.listed = map[string]machine.Machine{}
-	for _, m := range machines {
+	for _, m := range r.machines {
 		c.listed[m.Name] = m
 	}
 	c.listedAt = time.Now()
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -150,6 +150,7 @@
 		Log: s.Client(), Machines: f, Owners: owners, View: view, Clock: func() time.Duration { return time.Since(started) },
 		Logger: zap.NewNop(), Tenure: ownership.Tenure{Epoch: epoch}, Name: fmt.Sprint("holder-", epoch),
 		Holds:        func(ownership.Tenure, time.Duration) bool { return ctx.Err() == nil },
+		RoundTook:    func(time.Duration) {},
 		OrderLimiter: rate.NewLimiter(ordersPerSecond, 1),
 		Handover:     handover, Duration: maintenance, StatusTopic: "keyed.status",
 		Status: func(wave int64, completed bool) (string, []byte) {
--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -12,8 +12,8 @@
 	"github.com/beryltide/beryltide/internal/rebalance"
 )
 
-// moveTimeout is the time after an order to move from which the machine counts as
-// arrived, whatever the list shows.
+// moveTimeout is the time after an order to move from which the machine no longer
+// counts as on its way, whatever the list shows.
 const moveTimeout = 3 * time.Second
 
 // movement is the target pool and time of an order to move a machine.
@@ -62,8 +62,19 @@
 	return ready
 }
 
-// moveSnapshot returns the input of rebalance.Plan. It drops moves older than
-// moveTimeout.
+// arrived reports whether a machine is usable in the pool that it was ordered to. In
+// the spare pool it needs only to be up.
+func (c *Controller) arrived(name string, to movement) bool {
+	m := c.listed[name]
+	if m.Pool != to.to || m.State != machine.Up || c.listedAt.Before(to.at) {
+		return false
+	}
+	d, known := c.demand[to.to]
+	return !known || d.Instances[m.Instance].Usable
+}
+
+// moveSnapshot returns the input of rebalance.Plan. It drops the moves that have
+// ended, and those older than moveTimeout.
 func (c *Controller) moveSnapshot(configuration *catalog.Catalog) rebalance.Snapshot {
 	s := rebalance.Snapshot{
 		Machines: c.listed, Busy: map[string]bool{}, Demand: c.demand, Arriving: map[string]int{},
@@ -75,7 +86,7 @@
 		}
 	}
 	for name, m := range c.moving {
-		if time.Since(m.at) > moveTimeout {
+		if c.arrived(name, m) || time.Since(m.at) > moveTimeout {
 			delete(c.moving, name)
 			continue
 		}
@@ -115,13 +126,16 @@
 }
 
 // handleMoveResult logs an order to move. Unless the platform refused it, the
-// machine counts as moving, and the list is read again.
+// machine counts as moving.
 func (c *Controller) handleMoveResult(m rebalance.Move, err error) {
 	d := c.demand[m.To]
 	c.Logger.Info("machine.move", zap.String("machine", m.Machine), zap.String("instance", m.Instance), zap.String("from", m.From), zap.String("to", m.To),
 		zap.Int("waiting_cpu", d.WaitingCPU), zap.Int("free_cpu", d.FreeCPU), zap.Float64("waiting_work", d.WaitingWork), zap.Error(err))
 	if err == nil || errors.Is(err, machine.ErrUnknown) {
 		c.moving[m.Machine] = movement{to: m.To, at: time.Now()}
-		c.listedAt = time.Time{}
+		// The list shows the order only when it is read again.
+		listed := c.listed[m.Machine]
+		listed.Pool, listed.State, listed.Instance = m.To, machine.Moving, ""
+		c.listed[m.Machine] = listed
 	}
 }
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -64,7 +64,7 @@
 const (
 	// maxConcurrentOrders bounds the orders in flight. It equals the number of
 	// connections of the machine client.
-	maxConcurrentOrders = 4
+	maxConcurrentOrders = 16
 	// recordInterval is the minimum time between two updates of the recorded ages.
 	recordInterval = 500 * time.Millisecond
 )
--- a/internal/owner/learn.go
+++ b/internal/owner/learn.go
@@ -86,6 +86,12 @@
 	if u.arrivals[pool] == nil {
 		u.arrivals[pool] = &forecast.Arrivals{}
 	}
-	criticalPath, work := u.remaining(e, nil)
+	criticalPath, _ := u.remaining(e, nil)
+	size := u.meanInstanceCPU[pool]
+	var work float64
+	for i := range e.job.Submission.Steps {
+		step := &e.job.Submission.Steps[i]
+		work += u.estimate(e.job.Submission, step).Seconds() * float64(occupiedCPU(step.Need.CPU, size)*step.Count) / 1000
+	}
 	u.arrivals[pool].Add(now, work, criticalPath)
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -345,6 +345,7 @@
 			u.dropSession(sess)
 		}
 	}
+	u.measureInstances()
 }
 
 func (u *Unit) dropSession(sess *session) {
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -148,9 +148,12 @@
 	allowances allowances
 	// remainingAllowance is what teams may still start in the round being planned.
 	remainingAllowance map[teamPool]*job.Resources
-	durations          durations
-	arrivals           map[string]*forecast.Arrivals
-	workByQueue        map[string]*queueWork
+	// meanInstanceCPU is the mean capacity of each pool's listed instances, in
+	// thousandths of a core.
+	meanInstanceCPU map[string]int
+	durations       durations
+	arrivals        map[string]*forecast.Arrivals
+	workByQueue     map[string]*queueWork
 }
 
 // entry is a job with the unit's own data about it.
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -36,6 +36,8 @@
 	Runs int
 	// Lasting is the number of recorded runs of long-running tasks.
 	Lasting int
+	// Usable instances may be given tasks.
+	Usable bool
 	// IdleFor is how long the instance has had no run; 0 while it has one.
 	IdleFor time.Duration
 }
@@ -43,17 +45,20 @@
 // Demand is an owner's report on a pool, with CPU in thousandths of a core. It is
 // sent over net/rpc.
 type Demand struct {
-	// WaitingCPU is the need of the tasks that are ready to start, except backfill
-	// tasks and those of jobs without value left.
+	// WaitingCPU is what the tasks that are ready to start occupy on machines, except
+	// backfill tasks, those of jobs without value left, and those that their team's
+	// limit holds back. It includes the capacity that is left unused beside them,
+	// since a machine runs whole tasks.
 	WaitingCPU int
-	// WaitingWork is the work of these tasks, in core-seconds.
+	// WaitingWork is WaitingCPU times the tasks' run times, in core-seconds.
 	WaitingWork float64
-	// ArrivingCPU is the forecast CPU use of arriving work at the time at which a
+	// ArrivingCPU is what arriving work is forecast to occupy at the time at which a
 	// machine ordered now would arrive.
 	ArrivingCPU int
 	// LastingCPU is the allocation of the long-running tasks on usable instances.
 	LastingCPU int
-	// FreeCPU is the free capacity of usable instances.
+	// FreeCPU is the free capacity of usable instances that waiting tasks fit in; all
+	// of it if none waits.
 	FreeCPU int
 	// UsableCPU is the whole capacity of usable instances.
 	UsableCPU int
@@ -103,27 +108,38 @@
 	return s.returnIdle()
 }
 
-// assignMachines moves spare machines, then idle ones of other pools, to the pools
-// with a shortage, in the order of their backlogs.
+// assignMachines moves spare machines, then idle ones of other pools, one at a time
+// to the pool with the longest backlog among those with a shortage. A pool's backlog
+// shrinks with each machine that it is given, so that pools which peak together
+// share the machines.
 func (s Snapshot) assignMachines() []Move {
 	shortages := s.shortages()
-	if len(shortages) == 0 {
-		return nil
-	}
 	var moves []Move
 	for _, m := range s.available() {
-		if len(shortages) == 0 {
-			break
-		}
-		moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: shortages[0].pool, Instance: m.Instance})
-		shortages[0].missing--
-		if shortages[0].missing <= 0 {
-			shortages = shortages[1:]
+		neediest := longestBacklog(shortages, m.Pool)
+		if neediest == nil {
+			continue
 		}
+		moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: neediest.pool, Instance: m.Instance})
+		neediest.missing--
+		neediest.capacity += m.Capacity.CPU
 	}
 	return moves
 }
 
+// longestBacklog returns the shortage with the longest backlog, or nil if no pool
+// other than the given one lacks machines.
+func longestBacklog(shortages []shortage, except string) *shortage {
+	var longest *shortage
+	for i := range shortages {
+		n := &shortages[i]
+		if n.missing > 0 && n.pool != except && (longest == nil || n.backlog() > longest.backlog()) {
+			longest = n
+		}
+	}
+	return longest
+}
+
 // available returns the machines that may move to another pool, those that are off
 // first.
 func (s Snapshot) available() []machine.Machine {
@@ -188,33 +204,43 @@
 // shortage is how many machines a pool lacks, beside those that are arriving.
 type shortage struct {
 	pool    string
-	backlog time.Duration
 	missing int
+	// work is the waiting work and a second's work of the tasks that are forecast to
+	// find no capacity, in core-seconds.
+	work float64
+	// capacity is that of the pool's usable and arriving machines, in thousandths of
+	// a core.
+	capacity int
 }
 
-// shortages returns the pools that need more machines, longest backlog first.
+// backlog returns how long the pool's capacity needs for the work.
+func (n *shortage) backlog() time.Duration {
+	if n.capacity <= 0 {
+		return endlessBacklog
+	}
+	return time.Duration(n.work / float64(n.capacity) * 1000 * float64(time.Second))
+}
+
+// shortages returns the pools that need more machines, by name.
 func (s Snapshot) shortages() []shortage {
 	var out []shortage
 	machineCPU := s.meanMachineCPU()
-	for pool, d := range s.Demand {
+	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
+		d := s.Demand[pool]
 		if pool == s.SparePool || machineCPU == 0 {
 			continue
 		}
-		backlog := d.backlog()
-		missing := d.expectedShortfall() / machineCPU
-		if backlog > minBacklog {
+		lacking := d.expectedShortfall()
+		missing := lacking / machineCPU
+		if d.backlog() > minBacklog {
 			missing = max(missing, (d.WaitingCPU-d.FreeCPU)/machineCPU, minMissing(d))
 		}
 		if missing -= s.Arriving[pool]; missing > 0 {
-			out = append(out, shortage{pool: pool, backlog: backlog, missing: missing})
+			out = append(out, shortage{
+				pool: pool, missing: missing, work: d.WaitingWork + float64(lacking)/1000, capacity: d.UsableCPU + s.Arriving[pool]*machineCPU,
+			})
 		}
 	}
-	slices.SortFunc(out, func(a, b shortage) int {
-		if d := cmp.Compare(b.backlog, a.backlog); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.pool, b.pool)
-	})
 	return out
 }
 
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// Pools that peak together share the machines: the one with the longest backlog gets
+// the first, and not all of them while the others wait.
+func TestPoolsThatPeakTogetherShareMachines(t *testing.T) {
+	is := is.New(t)
+	s := fleet(map[string]int{"a": 2, "b": 2, "c": 2, spare: 9})
+	s.addBacklog("a", 16000*20, 400)
+	s.addBacklog("b", 16000*20, 300)
+	s.addBacklog("c", 16000*20, 300)
+	moves := Plan(s)
+	got := map[string]int{}
+	for _, m := range moves {
+		got[m.To]++
+	}
+	is.Equal(moves[0].To, "a")
+	is.Equal(got, map[string]int{"a": 4, "b": 3, "c": 2})
+}
+
 func TestNoMoveForAShortBacklog(t *testing.T) {
 	is := is.New(t)
 	s := fleet(map[string]int{"peak": 2, spare: 3})
