Join the owners only once they are known

All units were assigned anew six times in 2 s, and one with 160 instances went to a daemon of 0.19 of a core. Change: a daemon that has never read the list waits for it, reading at each tick, and joins without it only after 4 s. Before: TestDaemonThatCantReadTheOwnersDoesntJoinYet fails (2 units given). After: it passes.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -56,6 +56,9 @@
 	strongerFactor = 1.5
 	// electionInterval is how often a daemon decides whether it should own units.
 	electionInterval = 1500 * time.Millisecond
+	// unknownOwnersLimit is how long a daemon that can't read the list of owners waits
+	// before it joins all the same.
+	unknownOwnersLimit = 4 * time.Second
 	// nameSeparator separates the address, the incarnation and the strength in a
 	// member's name.
 	nameSeparator = "#"
@@ -83,8 +86,10 @@
 	// list owners that have stopped.
 	alive func(ctx context.Context, address string) bool
 	// standby is true while the daemon stays out of the group because a stronger
-	// owner is alive. It belongs to Run's goroutine, as does electedAt.
+	// owner is alive, or because it doesn't know the owners yet. It belongs to Run's
+	// goroutine, as do startedAt and electedAt.
 	standby   bool
+	startedAt time.Duration
 	electedAt time.Duration
 
 	// mu protects the fields up to joined.
@@ -126,7 +131,8 @@
 func (m *Member) Run(ctx context.Context, changed func([]Tenure)) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	m.electedAt = -electionInterval
+	m.startedAt = m.clock()
+	m.electedAt = m.startedAt - electionInterval
 	for {
 		if m.elect(ctx) {
 			changed(nil)
@@ -143,22 +149,23 @@
 }
 
 // elect decides whether this daemon should own units. It reads the list of owners
-// before the first join, so that a weak daemon stays out from its start; while
-// the list has never been read, the daemon joins. It reports whether the daemon
-// has left the group.
+// before the first join, so that a weak daemon stays out from its start; if the list
+// can't be read, the daemon joins after unknownOwnersLimit. It reports whether the
+// daemon has left the group.
 func (m *Member) elect(ctx context.Context) bool {
 	now := m.clock()
 	if now-m.electedAt < electionInterval {
 		return false
 	}
-	m.electedAt = now
 	m.ownersMu.Lock()
 	m.refreshOwners(ctx)
 	stronger, known := m.stronger, m.ownersLoaded
 	m.ownersMu.Unlock()
 	if !known {
+		m.standby = now-m.startedAt < unknownOwnersLimit
 		return false
 	}
+	m.electedAt = now
 	standby := m.anyAlive(ctx, stronger)
 	if standby == m.standby {
 		return false
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -169,3 +169,28 @@
 		is.Equal(len(weak.Tenures()), units)
 	})
 }
+
+// A weak daemon that starts during an outage can't read who owns units: it must not
+// join before it has.
+func TestDaemonThatCantReadTheOwnersDoesntJoinYet(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, s *memstore.Store, is *is.I) {
+		startMember(ctx, s, "strong:1", 0.8)
+		time.Sleep(time.Second)
+		h := &fakeHost{began: time.Now()}
+		client := s.Client()
+		client.SetFault(func(call string) memstore.Fault {
+			if call == "owners" {
+				return memstore.Refuse
+			}
+			return memstore.None
+		})
+		given := 0
+		weak := New(store.Watch(client, h.clock), "weak:1", "1", 0.2, alwaysAlive, h.clock, zap.NewNop())
+		go weak.Run(ctx, func(t []Tenure) { given += len(t) })
+		time.Sleep(2 * time.Second)
+		client.SetFault(nil)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.Equal(given, 0)
+	})
+}
