--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -57,6 +57,9 @@
 	for pool, candidates := range byPool {
 		nodes := u.nodes(pool, now)
 		plan := schedule.Plan(now, candidates, nodes)
+		for _, n := range nodes {
+			u.sessions[n.ID].reservation = n.Reservation
+		}
 		u.logPlan(candidates, nodes, plan, now)
 		u.place(plan, now)
 		u.waiting[pool] = u.withoutPlaced(candidates, plan)
@@ -240,7 +243,7 @@
 		n := &schedule.Node{
 			ID: sess.reg.ID, Rack: sess.reg.Rack, DataCentre: sess.reg.DataCentre, Labels: sess.reg.Labels,
 			Capacity: sess.reg.Capacity, Free: sess.reg.Capacity.Sub(sess.usage.allocated), Suspect: sess.suspect(now),
-			BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunningCPU: sess.usage.longRunningCPU,
+			Reservation: sess.reservation, BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunningCPU: sess.usage.longRunningCPU,
 		}
 		nodes = append(nodes, n)
 	}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -12,6 +12,7 @@
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/pause"
+	"github.com/beryltide/beryltide/internal/schedule"
 )
 
 // Timing of polls, leases and orders, and limits on an instance's orders.
@@ -75,6 +76,8 @@
 	// both.
 	runs  map[job.TaskID]*run
 	usage usage
+	// reservation names the step that free capacity there is kept for.
+	reservation schedule.StepKey
 	// strays counts the listed runs that the unit has no record of.
 	strays     int
 	failStreak int
--- a/internal/schedule/index.go
+++ b/internal/schedule/index.go
@@ -98,7 +98,7 @@
 }
 
 // emptiest returns the node with the most free CPU that could hold a task of the
-// candidate if nothing ran there; nil if none has free CPU.
+// candidate if nothing ran there, and that isn't reserved; nil if none has free CPU.
 func (x *nodeIndex) emptiest(c *Candidate) *indexedNode {
 	need := c.Step.Allocation()
 	var best *indexedNode
@@ -108,7 +108,7 @@
 			if n.share <= 0 || best != nil && n.share*float64(x.maxCPU) < float64(best.Free.CPU) {
 				break // no node further down has more free CPU
 			}
-			if !c.feasible(n.Node) || !need.Fits(n.Capacity) {
+			if n.Reservation != (StepKey{}) || !c.feasible(n.Node) || !need.Fits(n.Capacity) {
 				continue
 			}
 			if best == nil || n.Free.CPU > best.Free.CPU || n.Free.CPU == best.Free.CPU && n.position < best.position {
--- a/internal/schedule/reference_test.go
+++ b/internal/schedule/reference_test.go
@@ -15,6 +15,7 @@
 func scanPlan(now time.Time, candidates []*Candidate, nodes []*Node) []Assignment {
 	slices.SortStableFunc(candidates, compare)
 	p := newPlanner(now, nodes)
+	p.keepReservations(candidates)
 	for _, c := range candidates {
 		p.scanStep(c)
 	}
@@ -43,14 +44,19 @@
 	if p.now.Sub(c.WaitingSince) < reserveAfter || c.Class >= NoValue {
 		return
 	}
-	var best *indexedNode
+	best := p.reserved[c.Key()]
+	if best == nil && len(p.reserved) > 0 {
+		return // few nodes, so one reservation
+	}
 	for i := range p.nodes {
 		n := &p.nodes[i]
-		if n.Free.CPU > 0 && c.feasible(n.Node) && c.Step.Allocation().Fits(n.Capacity) && (best == nil || n.Free.CPU > best.Free.CPU) {
+		if p.reserved[c.Key()] == nil && n.Free.CPU > 0 && c.feasible(n.Node) && c.Step.Allocation().Fits(n.Capacity) && (best == nil || n.Free.CPU > best.Free.CPU) {
 			best = n
 		}
 	}
 	if best != nil {
+		best.Reservation = c.Key()
+		p.reserved[c.Key()] = best
 		p.setFree(best, job.Resources{})
 	}
 }
@@ -61,6 +67,7 @@
 func TestIndexedPlanEqualsScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes, copies := drawRackedNodes(t), []*Node(nil)
+		nodes[0].Reservation = StepKey{Job: fmt.Sprint("j", rapid.IntRange(0, 9).Draw(t, "reserved for"))}
 		for _, n := range nodes {
 			clone := *n
 			copies = append(copies, &clone)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -15,11 +15,6 @@
 	"github.com/beryltide/beryltide/internal/job"
 )
 
-// reserveAfter is how long a task that fits nowhere waits before it reserves a
-// node's free capacity: users accept a wait of up to 3 s while twice the capacity
-// that the task needs is free.
-const reserveAfter = 2 * time.Second
-
 // Class is a candidate's priority class. Rank orders the candidates of one class.
 type Class int
 
@@ -93,6 +88,9 @@
 	// LongRunningCPU is the CPU allocation of the long-running tasks, in thousandths
 	// of a core.
 	LongRunningCPU int
+	// Reservation names the step that the node's free capacity is kept for, until
+	// one of its tasks fits; empty if none. Plan updates it.
+	Reservation StepKey
 }
 
 // Assignment is one start.
@@ -105,11 +103,12 @@
 }
 
 // Plan assigns waiting tasks to nodes, in the order of class, rank and job. It
-// sorts candidates in place, and updates Free and the task counts of the nodes and
-// Placed and Allowance of the candidates.
+// sorts candidates in place, and updates Free, Reservation and the task counts of
+// the nodes, and Placed and Allowance of the candidates.
 func Plan(now time.Time, candidates []*Candidate, nodes []*Node) []Assignment {
 	slices.SortStableFunc(candidates, compare)
 	p := newPlanner(now, nodes)
+	p.keepReservations(candidates)
 	for _, c := range candidates {
 		if c.Step.Gang {
 			p.placeGang(c)
@@ -157,12 +156,14 @@
 	racks map[string]*nodeIndex
 	// blocked holds the shapes that fitted no node in this round.
 	blocked map[shape]bool
+	// reserved holds the reserved nodes by step.
+	reserved map[StepKey]*indexedNode
 }
 
 func newPlanner(now time.Time, nodes []*Node) *planner {
 	p := &planner{
 		now: now, nodes: make([]indexedNode, len(nodes)), byID: make(map[string]int32, len(nodes)),
-		racks: map[string]*nodeIndex{}, blocked: map[shape]bool{},
+		racks: map[string]*nodeIndex{}, blocked: map[shape]bool{}, reserved: map[StepKey]*indexedNode{},
 	}
 	positions := make([]int32, len(nodes))
 	for i, n := range nodes {
@@ -216,6 +217,7 @@
 	s := shapeOf(c.Step)
 	for _, t := range c.Tasks {
 		if unconstrained && p.blocked[s] {
+			p.renewReservation(c)
 			return
 		}
 		if !c.withinAllowance() {
@@ -287,18 +289,6 @@
 	})
 }
 
-// reserve withholds, once a step has waited for reserveAfter, the node with the
-// most free CPU that could hold one of its tasks from all later candidates of this
-// round. Jobs without value left and backfill reserve nothing.
-func (p *planner) reserve(c *Candidate) {
-	if p.now.Sub(c.WaitingSince) < reserveAfter || c.Class >= NoValue {
-		return
-	}
-	if n := p.all.emptiest(c); n != nil {
-		p.setFree(n, job.Resources{})
-	}
-}
-
 // choose returns the node with the lowest cost for a task, or nil if it fits none.
 // Where nodes differ by free share, suspicion and rack alone, it is the fullest one
 // of the preferred racks or of all nodes.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -106,6 +106,32 @@
 	is.Equal(len(Plan(now, []*Candidate{small, wide}, []*Node{n})), 0)
 }
 
+// Tasks of other sizes end at other nodes all the time. A wide step must drain one
+// node, not a different one each round, or it never fits; and however many steps
+// wait, few nodes are withheld from tasks that fit.
+func TestReservationKeepsItsNode(t *testing.T) {
+	is := is.New(t)
+	nodes := []*Node{node("a", 4000), node("b", 4000)}
+	nodes[0].Free.CPU, nodes[1].Free.CPU = 3500, 3000
+	plan := func() []Assignment {
+		wide := candidate("wide", 4000, 0)
+		wide.WaitingSince, wide.Class = now.Add(-3*time.Second), LongRunning
+		other := candidate("other", 3800, 0)
+		other.WaitingSince = wide.WaitingSince
+		small := candidate("small", 500, 0, 1, 2, 3)
+		small.Rank = 1
+		return Plan(now, []*Candidate{small, other, wide}, nodes)
+	}
+	is.Equal(nodesOf(plan(), "small"), []string{"b", "b", "b", "b"}) // a is reserved
+	nodes[0].Free.CPU, nodes[1].Free.CPU = 3500, 3700
+	is.Equal(nodesOf(plan(), "small"), []string{"b", "b", "b", "b"}) // still a, though b has more room
+	nodes[0].Free.CPU, nodes[1].Free.CPU = 4000, 0
+	is.Equal(nodesOf(plan(), "wide"), []string{"a"})
+	nodes[0].Free.CPU = 2000
+	is.Equal(len(nodesOf(Plan(now, []*Candidate{candidate("small", 500, 0)}, nodes), "small")), 1)
+	is.Equal(nodes[0].Reservation, StepKey{}) // the step no longer waits
+}
+
 func TestRank(t *testing.T) {
 	o := RankInput{Accepted: now, Objective: 2 * time.Second, CriticalPath: time.Second, RemainingWork: 4, TotalWork: 4, MeanWork: 4}
 	for _, c := range []struct {
