Don't log the planned end of an instance as a loss

Change: an instance that is cordoned and without runs is logged as instance.left and not counted as a failed poll.

--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -60,10 +60,14 @@
 	case errors.Is(err, instance.ErrGone):
 		u.endReplaced(sess, now)
 	}
-	u.Meter.pollFailed.Inc(1)
-	if !sess.unreachable {
+	if !sess.unreachable && sess.released(now) {
+		u.Logger.Info("instance.left", zap.String("instance", sess.reg.ID))
+	} else if !sess.unreachable {
 		u.Logger.Warn("instance.lost", zap.String("instance", sess.reg.ID), zap.Int("runs", len(sess.runs)), zap.Error(err))
 	}
+	if !sess.released(now) {
+		u.Meter.pollFailed.Inc(1)
+	}
 	sess.unreachable = true
 	if !sess.lossRecorded && len(sess.runs) > 0 {
 		sess.lossRecorded = true
--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -24,6 +24,10 @@
 
 func (s *session) cordoned(now time.Time) bool { return now.Sub(s.cordonRenewedAt) < cordonTTL }
 
+// released reports whether the instance was emptied for an order to its machine, so
+// that its end is expected.
+func (s *session) released(now time.Time) bool { return s.cordoned(now) && len(s.runs) == 0 }
+
 // Release cordons instances, moves their long-running tasks as far as the
 // steps' MayMiss allows, and returns the instances that are empty. It returns
 // ErrNotReady if the unit can't answer or another daemon may own it.
