--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -113,6 +113,8 @@
 	ordersRecordedAt time.Time
 	// moving holds the machines with an order to move, by name.
 	moving map[string]movement
+	// draining holds the busy machines that move once they are empty, by name.
+	draining map[string]movement
 	// lastAppend is the sequence number of the last append under this tenure.
 	lastAppend int64
 }
@@ -121,7 +123,7 @@
 // context ends. It returns early if a later holder has fenced this one.
 func (c *Controller) Run(ctx context.Context) {
 	c.waves = map[int64]*progress{}
-	c.moving = map[string]movement{}
+	c.moving, c.draining = map[string]movement{}, map[string]movement{}
 	c.ledger = quota.NewLedger()
 	c.recentOrders, c.formerOrders = map[string]lastOrder{}, map[string]formerOrder{}
 	if !c.takeOver(ctx) {
--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -25,7 +25,8 @@
 // rebalance moves machines to pools with unmet demand, and back to the spare
 // pool.
 func (c *Controller) rebalance(ctx context.Context, configuration *catalog.Catalog) {
-	moves := c.executableMoves(ctx, rebalance.Plan(c.moveSnapshot(configuration)))
+	snapshot := c.moveSnapshot(configuration)
+	moves := c.executableMoves(ctx, append(c.drainingMoves(), rebalance.Plan(snapshot)...))
 	orders := make([]order, len(moves))
 	for n, m := range moves {
 		orders[n] = order{machine: m.Machine, kind: moveOrder, call: func(ctx context.Context, by machine.Holder) error {
@@ -56,12 +57,36 @@
 	}
 	for _, m := range occupied {
 		if empty[m.Machine] {
+			delete(c.draining, m.Machine)
 			ready = append(ready, m)
+			continue
+		}
+		if _, known := c.draining[m.Machine]; m.Busy && !known {
+			c.draining[m.Machine] = movement{to: m.To, at: time.Now()}
 		}
 	}
 	return ready
 }
 
+// drainTimeout is how long a machine may take to drain for another pool. It ends
+// before the owner would stop the machine's tasks, whose work would be lost.
+const drainTimeout = 3500 * time.Millisecond
+
+// drainingMoves returns the moves of the machines that are draining, and forgets
+// those that can't move any more.
+func (c *Controller) drainingMoves() []rebalance.Move {
+	var moves []rebalance.Move
+	for name, to := range c.draining {
+		m := c.listed[name]
+		if m.State != machine.Up || m.Pool == to.to || m.Instance == "" || time.Since(to.at) > drainTimeout {
+			delete(c.draining, name)
+			continue
+		}
+		moves = append(moves, rebalance.Move{Machine: name, From: m.Pool, To: to.to, Instance: m.Instance, Busy: true})
+	}
+	return moves
+}
+
 // arrived reports whether a machine is usable in the pool that it was ordered to. In
 // the spare pool it needs only to be up.
 func (c *Controller) arrived(name string, to movement) bool {
@@ -93,6 +118,10 @@
 		s.Busy[name] = true
 		s.Arriving[m.to]++
 	}
+	for name, m := range c.draining {
+		s.Busy[name] = true
+		s.Arriving[m.to]++
+	}
 	for name := range c.formerOrders {
 		s.Busy[name] = s.Busy[name] || c.reserved(name)
 	}
--- a/internal/maintenance/moves_test.go
+++ b/internal/maintenance/moves_test.go
@@ -1,10 +1,12 @@
 package maintenance
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/beryltide/beryltide/internal/machine"
 	"github.com/beryltide/beryltide/internal/rebalance"
@@ -36,3 +38,38 @@
 	show("off", machine.Up, false)
 	is.True(c.arrived("m", movement{to: "off", at: ordered}))
 }
+
+// drainingOwners answers that no instance is empty until drained is set.
+type drainingOwners struct {
+	fakeOwners
+	drained bool
+}
+
+func (o *drainingOwners) Release(_ context.Context, _ string, instances []string) ([]string, error) {
+	if o.drained {
+		return instances, nil
+	}
+	return nil, nil
+}
+
+// A busy machine that is to move is released again in each pass, until it is empty
+// or has taken too long; meanwhile nothing else may be planned for it.
+func TestBusyMachineMovesOnceItIsEmpty(t *testing.T) {
+	is := is.New(t)
+	owners := &drainingOwners{}
+	c := &Controller{Owners: owners, Logger: zap.NewNop(), draining: map[string]movement{}, listed: map[string]machine.Machine{
+		"m": {Name: "m", Pool: "from", State: machine.Up, Instance: "i"},
+	}}
+	planned := []rebalance.Move{{Machine: "m", From: "from", To: "to", Instance: "i", Busy: true}}
+	is.Equal(len(c.executableMoves(t.Context(), planned)), 0)
+	is.Equal(c.drainingMoves(), planned)
+	owners.drained = true
+	is.Equal(c.executableMoves(t.Context(), c.drainingMoves()), planned)
+	is.Equal(len(c.drainingMoves()), 0)
+
+	c.draining["m"] = movement{to: "to", at: time.Now().Add(-drainTimeout - time.Second)}
+	is.Equal(len(c.drainingMoves()), 0) // its tasks are too long
+	c.draining["m"] = movement{to: "to", at: time.Now()}
+	c.listed["m"] = machine.Machine{Name: "m", Pool: "from", State: machine.Maintenance, Instance: "i"}
+	is.Equal(len(c.drainingMoves()), 0) // it went down for a wave
+}
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -69,7 +69,8 @@
 // Snapshot is the input of Plan. Its maps are by machine name, pool or data centre.
 type Snapshot struct {
 	Machines map[string]machine.Machine
-	// Busy holds the machines that are part of a wave or have a recent order.
+	// Busy holds the machines that are part of a wave, have a recent order, or drain
+	// for another pool.
 	Busy map[string]bool
 	// Demand holds the owners' reports by pool; pools without a report give up no
 	// machines and get none.
@@ -79,7 +80,8 @@
 	SparePool string
 	// BaseSizes holds the number of machines that each pool keeps when it is idle.
 	BaseSizes map[string]int
-	// Arriving is the number of machines on their way to each pool.
+	// Arriving is the number of machines on their way to each pool, or draining for
+	// it.
 	Arriving map[string]int
 	// OutOfService holds the data centres that take no work.
 	OutOfService map[string]bool
@@ -93,6 +95,8 @@
 	// Instance is the ID of the instance on the machine; empty for machines that
 	// are off.
 	Instance string
+	// Busy machines still run tasks; they must drain before they move.
+	Busy bool
 }
 
 // Plan returns the moves to order now; idle machines are switched off only if no
@@ -111,7 +115,7 @@
 // assignMachines moves spare machines, then idle ones of other pools, one at a time
 // to the pool with the longest backlog among those with a shortage. A pool's backlog
 // shrinks with each machine that it is given, so that pools which peak together
-// share the machines.
+// share the machines. What is still lacking then may come from busy machines.
 func (s Snapshot) assignMachines() []Move {
 	shortages := s.shortages()
 	var moves []Move
@@ -124,7 +128,7 @@
 		neediest.missing--
 		neediest.capacity += m.Capacity.CPU
 	}
-	return moves
+	return append(moves, s.reclaim(shortages)...)
 }
 
 // longestBacklog returns the shortage with the longest backlog, or nil if no pool
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -76,6 +76,34 @@
 	is.Equal(got, map[string]int{"a": 4, "b": 3, "c": 2})
 }
 
+// A pool that peaked first holds all machines and keeps them busy. One that starves
+// beside it gets busy machines until their backlogs are near each other, but none
+// with long-running tasks and no more than a quarter at a time.
+func TestStarvingPoolGetsBusyMachines(t *testing.T) {
+	is := is.New(t)
+	s := fleet(map[string]int{"first": 40, "starved": 4, spare: 0})
+	s.addBacklog("first", 16000*20, 640)     // 1 s
+	s.addBacklog("starved", 16000*60, 64*20) // 20 s
+	for id, i := range s.Demand["first"].Instances {
+		if id != "i-m-first-7" {
+			i.Lasting = 1
+			s.Demand["first"].Instances[id] = i
+		}
+	}
+	is.Equal(Plan(s), []Move{{Machine: "m-first-7", From: "first", To: "starved", Instance: "i-m-first-7", Busy: true}})
+	for id, i := range s.Demand["first"].Instances {
+		i.Lasting = 0
+		s.Demand["first"].Instances[id] = i
+	}
+	is.Equal(len(Plan(s)), 10)
+	s.Busy["m-first-0"], s.Busy["m-first-1"] = true, true // still draining
+	is.Equal(len(Plan(s)), 8)
+	d := s.Demand["starved"]
+	d.WaitingWork = 64 * 4 // 4 s: not worth the time in which a machine does nothing
+	s.Demand["starved"] = d
+	is.Equal(len(Plan(s)), 0)
+}
+
 func TestNoMoveForAShortBacklog(t *testing.T) {
 	is := is.New(t)
 	s := fleet(map[string]int{"peak": 2, spare: 3})
