Grant teams their limits before the fleet's records are read

Change: grants go out from the first pass; waves and moves wait for the takeover. Owners obey the newest leader by its epoch, whatever it has read. TestGrantsDontWaitForTheFleetsRecords fails on the code of before and passes.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -119,20 +119,29 @@
 	lastAppend int64
 }
 
-// Run takes over from the former holder, then runs the control loop until the
-// context ends. It returns early if a later holder has fenced this one.
+// Run takes over from the former holder and runs the control loop until the context
+// ends. Until it has taken over it only assigns grants: owners obey the newest leader
+// by its epoch alone, so that teams' work goes on while the fleet's records can't be
+// read. Run returns early if a later holder has fenced this one.
 func (c *Controller) Run(ctx context.Context) {
 	c.waves = map[int64]*progress{}
 	c.moving, c.draining = map[string]movement{}, map[string]movement{}
 	c.ledger = quota.NewLedger()
 	c.recentOrders, c.formerOrders = map[string]lastOrder{}, map[string]formerOrder{}
-	if !c.takeOver(ctx) {
-		return
-	}
+	takenOver, fenced := false, make(chan bool, 1)
+	go func() { fenced <- !c.takeOver(ctx) }()
 	for ctx.Err() == nil {
+		select {
+		case lost := <-fenced:
+			if lost {
+				return
+			}
+			takenOver = true
+		default:
+		}
 		begin := time.Now()
 		if c.Holds(c.Tenure, OrderGrace) {
-			c.reconcile(ctx)
+			c.reconcile(ctx, takenOver)
 			c.RoundTook(time.Since(begin))
 		}
 		pause.For(ctx, max(reconcileInterval-time.Since(begin), minReconcilePause))
@@ -183,13 +192,17 @@
 	return nil
 }
 
-// reconcile exchanges grants and demand with the owners, advances the waves, then
-// moves machines between pools.
-func (c *Controller) reconcile(ctx context.Context) {
+// reconcile exchanges grants and demand with the owners. After the takeover it also
+// advances the waves, then moves machines between pools.
+func (c *Controller) reconcile(ctx context.Context, takenOver bool) {
 	configuration := c.View.Catalog()
 	if configuration == nil {
 		return
 	}
+	if !takenOver {
+		c.exchangeGrants(ctx, configuration)
+		return
+	}
 	var list listResult
 	var wg sync.WaitGroup
 	if time.Since(c.listedAt) > maxListAge {
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -117,6 +117,7 @@
 type fakeOwners struct {
 	mu           sync.Mutex
 	releaseCalls int
+	grantOrders  int
 	latency      time.Duration
 }
 
@@ -128,7 +129,10 @@
 	return instances, nil
 }
 
-func (*fakeOwners) Demand(context.Context, owner.GrantOrder) (Report, error) {
+func (o *fakeOwners) Demand(context.Context, owner.GrantOrder) (Report, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.grantOrders++
 	return Report{Demand: rebalance.Demand{WaitingCPU: 1, Instances: map[string]rebalance.Instance{}}}, nil
 }
 
@@ -145,9 +149,13 @@
 }
 
 func startControllerWithOwners(ctx context.Context, s *memstore.Store, f *fakeMachines, owners *fakeOwners, view *fleetview.View, epoch int64) {
+	go newController(ctx, s.Client(), f, owners, view, epoch).Run(ctx)
+}
+
+func newController(ctx context.Context, log store.Log, f *fakeMachines, owners PoolOwners, view *fleetview.View, epoch int64) *Controller {
 	started := time.Now()
-	c := &Controller{
-		Log: s.Client(), Machines: f, Owners: owners, View: view, Clock: func() time.Duration { return time.Since(started) },
+	return &Controller{
+		Log: log, Machines: f, Owners: owners, View: view, Clock: func() time.Duration { return time.Since(started) },
 		Logger: zap.NewNop(), Tenure: ownership.Tenure{Epoch: epoch}, Name: fmt.Sprint("holder-", epoch),
 		Holds:        func(ownership.Tenure, time.Duration) bool { return ctx.Err() == nil },
 		RoundTook:    func(time.Duration) {},
@@ -157,7 +165,6 @@
 			return fmt.Sprint("wave/", wave), []byte(fmt.Sprint(completed))
 		},
 	}
-	go c.Run(ctx)
 }
 
 func waveView(f *fakeMachines, pool *catalog.Pool, atOnce int) *fleetview.View {
--- a/internal/maintenance/moves_test.go
+++ b/internal/maintenance/moves_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/machine"
+	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/rebalance"
 )
 
@@ -73,3 +76,29 @@
 	c.listed["m"] = machine.Machine{Name: "m", Pool: "from", State: machine.Maintenance, Instance: "i"}
 	is.Equal(len(c.drainingMoves()), 0) // it went down for a wave
 }
+
+// After all daemons were lost, owners have no grants until a leader sends some. A
+// leader that can't read the fleet's records, since the store refuses that
+// partition alone, must not keep every team's work waiting.
+func TestGrantsDontWaitForTheFleetsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f, owners := memstore.New(1), newFakeMachines(1), &fakeOwners{}
+		client := s.Client()
+		client.SetFault(func(string) memstore.Fault { return memstore.Refuse })
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newController(ctx, client, f, owners, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
+		go c.Run(ctx)
+		time.Sleep(time.Second)
+		owners.mu.Lock()
+		is.True(owners.grantOrders > 3)
+		owners.mu.Unlock()
+		is.Equal(f.begunCount(), 0) // no orders before the takeover
+		client.SetFault(nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(f.begunCount(), 1)
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
