Spread the pools' units, so that restarts don't gather them

The log, which now lists the units of a membership, shows the store's rule: a member that joins gets the lowest unit of each other member, and pools had the lowest numbers. Change: pools get every third number, from the highest down. TestRollingRestartKeepsPoolsApart deals units as the store did: 24 units, 6 members, 100 deals: 1,773 changes of owner before, 1,010 after; it fails on the code of before.

--- a/internal/unitmap/unitmap.go
+++ b/internal/unitmap/unitmap.go
@@ -1,7 +1,8 @@
 // Package unitmap assigns a unit to each pool. An assignment is kept in the store
 // and never changes, because the pool's jobs are stored in its unit's partition.
-// Consecutive units are owned by different daemons, so new pools get the lowest free
-// numbers. The package depends on package store.
+// New pools get every third number, from the highest down: the store gives a member
+// that joins the lowest unit of each other member, so that a daemon that restarts
+// mostly draws units without a pool. The package depends on package store.
 package unitmap
 
 import (
@@ -25,6 +26,9 @@
 	Fleet = "fleet of all pools"
 	// checkInterval is how often Run searches for pools without a unit.
 	checkInterval = 100 * time.Millisecond
+	// stride is the distance between the units of pools that are added one after
+	// another. Neighbours would gather at one daemon as members come and go.
+	stride = 3
 	// None is what Of returns for a pool without a unit.
 	None = -1
 )
@@ -135,8 +139,19 @@
 	return nil
 }
 
-// assign returns records that give each pool the lowest of the units with the fewest
-// pools.
+// preferredUnits returns all units, in the order in which pools get them.
+func preferredUnits(unitCount int) []int {
+	var units []int
+	for first := unitCount - 1; first >= max(unitCount-stride, 0); first-- {
+		for unit := first; unit >= 0; unit -= stride {
+			units = append(units, unit)
+		}
+	}
+	return units
+}
+
+// assign returns records that give each pool the first of the preferred units that
+// have the fewest pools.
 func (m *Map) assign(pools []string) []store.Record {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -145,9 +160,15 @@
 		poolsPerUnit[unit]++
 	}
 	slices.Sort(pools)
+	preferred := preferredUnits(m.unitCount)
 	var out []store.Record
 	for _, pool := range pools {
-		unit := slices.Index(poolsPerUnit, slices.Min(poolsPerUnit))
+		unit := preferred[0]
+		for _, candidate := range preferred[1:] {
+			if poolsPerUnit[candidate] < poolsPerUnit[unit] {
+				unit = candidate
+			}
+		}
 		poolsPerUnit[unit]++
 		out = append(out, store.Record{Key: pool, Value: []byte(strconv.Itoa(unit))})
 	}
