Pass units on at once when a daemon leaves

Cause: on a rolling restart the next owner of a unit learned that it is its own only by its next join, up to 300 ms later; a unit that passes to a daemon that joins waits for two such joins. Change: a daemon that leaves the owners tells the others, which join at once; while the members change, all join each 50 ms.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -142,7 +142,9 @@
 	defer cancelMember()
 	go d.member.Run(memberCtx, d.units.set)
 	serveErrors := make(chan error, 4)
-	go func() { serveErrors <- ownerrpc.Serve(d.ports.PeersListener, d.units, d.ports.Log, d.logger) }()
+	go func() {
+		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, d.units, d.ports.Log, d.member.JoinSoon, d.logger)
+	}()
 	callers := d.server(d.ports.Callers(d.service, d.view))
 	go func() { serveErrors <- serve(callers, d.ports.CallersListener) }()
 	go func() { serveErrors <- serve(d.server(http.HandlerFunc(d.ready)), d.ports.ReadinessListener) }()
@@ -277,6 +279,18 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// notifyOwners tells the other owners that this daemon has left them, so that they
+// learn at once which of its units are theirs now. It doesn't wait for their answers.
+func (d *Daemon) notifyOwners(ctx context.Context) {
+	for _, address := range d.member.Peers() {
+		go func() {
+			if err := d.peers.Left(ctx, address); err != nil {
+				d.logger.Info("peer.not_notified", zap.String("peer", address), zap.Error(err))
+			}
+		}()
+	}
+}
+
 // stop gives up the units at once, keeps serving while the balancer still sends
 // requests, and lets running requests finish within the grace period.
 func (d *Daemon) stop(callers *http.Server) error {
@@ -289,6 +303,7 @@
 	if err := d.member.Leave(ctx); err != nil {
 		d.logger.Warn("ownership.leave_failed", zap.Error(err))
 	}
+	d.notifyOwners(ctx)
 	select {
 	case <-ctx.Done():
 	case <-time.After(drainDelay):
--- a/internal/fleetd/outage_test.go
+++ b/internal/fleetd/outage_test.go
@@ -92,6 +92,6 @@
 	if !served {
 		log = unreachableLog(t, client, clock)
 	}
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, log, zap.NewNop()) }()
+	go func() { _ = ownerrpc.Serve(listener, noUnits{}, log, func() {}, zap.NewNop()) }()
 	return log
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, watch(client), zap.NewNop()) }()
+	go func() { _ = ownerrpc.Serve(listener, noUnits{}, watch(client), func() {}, zap.NewNop()) }()
 	_, err = s.Client().Join(context.Background(), store.Join{
 		Group: "owners", Member: listener.Addr().String() + "#1#1", Topics: []string{ownership.Topic}, TTL: time.Hour,
 	})
--- /dev/null
+++ b/internal/ownerrpc/client.go
@@ -0,0 +1,135 @@
+package ownerrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// dialTimeout is far above the time to connect between data centres (2 ms).
+const dialTimeout = 250 * time.Millisecond
+
+// ErrUnsent means that the call never left this daemon.
+var ErrUnsent = errors.New("the peer can't be reached")
+
+// errNoAnswer means that a call may have been carried out.
+var errNoAnswer = errors.New("no answer in time")
+
+// Client calls peers over one connection to each. Its methods may be called
+// concurrently. Their error wraps ErrUnsent if no connection could be made.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// NewClient returns a client that connects to peers on demand.
+func NewClient() *Client { return &Client{conns: map[string]*rpc.Client{}} }
+
+// Job calls Server.Job of the owner at an address.
+func (c *Client) Job(ctx context.Context, address string, req JobRequest) (JobReply, error) {
+	var reply JobReply
+	err := c.Call(ctx, address, serviceName+".Job", req, &reply)
+	return reply, err
+}
+
+// Queue calls Server.Queue of the owner at an address.
+func (c *Client) Queue(ctx context.Context, address string, req QueueRequest) (QueueReply, error) {
+	var reply QueueReply
+	err := c.Call(ctx, address, serviceName+".Queue", req, &reply)
+	return reply, err
+}
+
+// Release calls Server.Release of the owner at an address.
+func (c *Client) Release(ctx context.Context, address string, req ReleaseRequest) (ReleaseReply, error) {
+	var reply ReleaseReply
+	err := c.Call(ctx, address, serviceName+".Release", req, &reply)
+	return reply, err
+}
+
+// Demand calls Server.Demand of the owner at an address.
+func (c *Client) Demand(ctx context.Context, address string, req DemandRequest) (DemandReply, error) {
+	var reply DemandReply
+	err := c.Call(ctx, address, serviceName+".Demand", req, &reply)
+	return reply, err
+}
+
+// Store calls Server.Store of a peer.
+func (c *Client) Store(ctx context.Context, address string, req StoreRequest) (StoreReply, error) {
+	var reply StoreReply
+	err := c.Call(ctx, address, serviceName+".Store", req, &reply)
+	return reply, err
+}
+
+// Away calls Server.Away of a peer.
+func (c *Client) Away(ctx context.Context, address string) (AwayReply, error) {
+	var reply AwayReply
+	err := c.Call(ctx, address, serviceName+".Away", AwayRequest{}, &reply)
+	return reply, err
+}
+
+// Left calls Server.Left of a peer.
+func (c *Client) Left(ctx context.Context, address string) error {
+	return c.Call(ctx, address, serviceName+".Left", LeftRequest{}, &LeftReply{})
+}
+
+// Call makes one call of at most callTimeout, plus dialTimeout to connect. A
+// connection that failed, or without an answer in time, is closed, as it may be dead.
+// An error of the server's method, or a caller that gives up earlier, leaves it open
+// for the other callers. The reply must not be used after an error, as a late answer
+// may still be written to it.
+func (c *Client) Call(ctx context.Context, address, method string, req, reply any) error {
+	conn, err := c.connection(address)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(method, req, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case done := <-call.Done:
+		var failed rpc.ServerError
+		if done.Error != nil && !errors.As(done.Error, &failed) {
+			c.drop(address, conn)
+		}
+		return errors.Wrap(done.Error, method)
+	case <-timer.C:
+		c.drop(address, conn)
+		return errors.Wrap(errNoAnswer, method)
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), method)
+	}
+}
+
+func (c *Client) connection(address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	raw, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnsent, err.Error())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		_ = raw.Close()
+		return other, nil
+	}
+	c.conns[address] = rpc.NewClient(raw)
+	return c.conns[address], nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -9,7 +9,6 @@
 	"context"
 	"net"
 	"net/rpc"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,18 +25,14 @@
 const (
 	// serviceName is the name under which Server is registered with net/rpc.
 	serviceName = "Owner"
-	// dialTimeout and callTimeout are far above the time of a call between data
-	// centres (2 ms), and leave time for a call to a second owner.
-	dialTimeout = 250 * time.Millisecond
+	// callTimeout is far above the time of a call between data centres (2 ms), and
+	// leaves time for a call to a second owner.
 	callTimeout = 500 * time.Millisecond
 	// storeTimeout bounds an append for a peer. It is shorter than callTimeout, so
 	// that the peer gets an answer.
 	storeTimeout = 400 * time.Millisecond
 )
 
-// ErrUnsent means that the call never left this daemon.
-var ErrUnsent = errors.New("the peer can't be reached")
-
 // Code is the outcome of a call.
 type Code int
 
@@ -130,6 +125,8 @@
 type Server struct {
 	units Units
 	log   *store.Watched
+	// membersChanged is called when a peer reports that it has left the owners.
+	membersChanged func()
 }
 
 // Store appends callers' records to a unit's partition. Duplicates are harmless:
@@ -169,6 +166,19 @@
 	return nil
 }
 
+// LeftRequest is the argument of Left.
+type LeftRequest struct{}
+
+// LeftReply is empty.
+type LeftReply struct{}
+
+// Left reports that a peer has left the owners: its units have successors now, which
+// learn so by their next join.
+func (s *Server) Left(LeftRequest, *LeftReply) error {
+	s.membersChanged()
+	return nil
+}
+
 // Job returns a job's state.
 func (s *Server) Job(req JobRequest, reply *JobReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -255,10 +265,11 @@
 	return NotReady
 }
 
-// Serve serves calls on a listener until it is closed.
-func Serve(l net.Listener, units Units, log *store.Watched, logger *zap.Logger) error {
+// Serve serves calls on a listener until it is closed. It calls membersChanged when
+// a peer has left the owners.
+func Serve(l net.Listener, units Units, log *store.Watched, membersChanged func(), logger *zap.Logger) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Server{units: units, log: log}); err != nil {
+	if err := server.RegisterName(serviceName, &Server{units: units, log: log, membersChanged: membersChanged}); err != nil {
 		return errors.Wrap(err, "register")
 	}
 	for {
@@ -273,111 +284,3 @@
 		go server.ServeConn(conn)
 	}
 }
-
-// Client calls peers over one connection to each. Its methods may be called
-// concurrently. Their error wraps ErrUnsent if no connection could be made.
-type Client struct {
-	mu    sync.Mutex
-	conns map[string]*rpc.Client
-}
-
-// NewClient returns a client that connects to peers on demand.
-func NewClient() *Client { return &Client{conns: map[string]*rpc.Client{}} }
-
-// Job calls Server.Job of the owner at an address.
-func (c *Client) Job(ctx context.Context, address string, req JobRequest) (JobReply, error) {
-	var reply JobReply
-	err := c.Call(ctx, address, serviceName+".Job", req, &reply)
-	return reply, err
-}
-
-// Queue calls Server.Queue of the owner at an address.
-func (c *Client) Queue(ctx context.Context, address string, req QueueRequest) (QueueReply, error) {
-	var reply QueueReply
-	err := c.Call(ctx, address, serviceName+".Queue", req, &reply)
-	return reply, err
-}
-
-// Release calls Server.Release of the owner at an address.
-func (c *Client) Release(ctx context.Context, address string, req ReleaseRequest) (ReleaseReply, error) {
-	var reply ReleaseReply
-	err := c.Call(ctx, address, serviceName+".Release", req, &reply)
-	return reply, err
-}
-
-// Demand calls Server.Demand of the owner at an address.
-func (c *Client) Demand(ctx context.Context, address string, req DemandRequest) (DemandReply, error) {
-	var reply DemandReply
-	err := c.Call(ctx, address, serviceName+".Demand", req, &reply)
-	return reply, err
-}
-
-// Store calls Server.Store of a peer.
-func (c *Client) Store(ctx context.Context, address string, req StoreRequest) (StoreReply, error) {
-	var reply StoreReply
-	err := c.Call(ctx, address, serviceName+".Store", req, &reply)
-	return reply, err
-}
-
-// Away calls Server.Away of a peer.
-func (c *Client) Away(ctx context.Context, address string) (AwayReply, error) {
-	var reply AwayReply
-	err := c.Call(ctx, address, serviceName+".Away", AwayRequest{}, &reply)
-	return reply, err
-}
-
-// Call makes one call of at most callTimeout, plus dialTimeout to connect. A
-// connection without an answer in time is closed, as it may be dead. The reply
-// must not be used after an error, as a late answer may still be written to it.
-func (c *Client) Call(ctx context.Context, address, method string, req, reply any) error {
-	conn, err := c.connection(address)
-	if err != nil {
-		return err
-	}
-	call := conn.Go(method, req, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(callTimeout)
-	defer timer.Stop()
-	select {
-	case done := <-call.Done:
-		if done.Error != nil {
-			c.drop(address, conn)
-		}
-		return errors.Wrap(done.Error, method)
-	case <-timer.C:
-		err = errors.New("no answer in time")
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	c.drop(address, conn)
-	return errors.Wrap(err, method)
-}
-
-func (c *Client) connection(address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn := c.conns[address]
-	c.mu.Unlock()
-	if conn != nil {
-		return conn, nil
-	}
-	raw, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, errors.Wrap(ErrUnsent, err.Error())
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other := c.conns[address]; other != nil {
-		_ = raw.Close()
-		return other, nil
-	}
-	c.conns[address] = rpc.NewClient(raw)
-	return c.conns[address], nil
-}
-
-func (c *Client) drop(address string, conn *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	_ = conn.Close()
-}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -9,7 +9,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +32,13 @@
 	ttl = 1500 * time.Millisecond
 	// joinInterval allows four joins within the ttl.
 	joinInterval = 300 * time.Millisecond
+	// settlingInterval is the time between joins after the members have changed:
+	// a unit passes on once its former owner, and then its next one, have joined
+	// again.
+	settlingInterval = 50 * time.Millisecond
+	// settlingPeriod is how long the members take to pass units on: all join once
+	// and, after them, the new owners.
+	settlingPeriod = 2 * joinInterval
 	// Grace is how long a tenure remains valid after the last confirmed join was
 	// sent. A successor adds it to the time, counted from its takeover, after which
 	// it treats leases as expired.
@@ -91,6 +100,8 @@
 	standby   bool
 	startedAt time.Duration
 	electedAt time.Duration
+	// joinSoon requests a join before the next tick.
+	joinSoon chan struct{}
 
 	// mu protects the fields up to joined.
 	mu         sync.Mutex
@@ -102,6 +113,8 @@
 	// confirmed is when the last confirmed join was sent, on the boot clock.
 	confirmed time.Duration
 	joined    bool
+	// generationAt is when the generation was first seen, on the boot clock.
+	generationAt time.Duration
 
 	// ownersMu protects the fields below.
 	ownersMu sync.Mutex
@@ -122,7 +135,7 @@
 	name := strings.Join([]string{address, incarnation, strconv.FormatFloat(strength, 'g', 4, 64)}, nameSeparator)
 	return &Member{
 		log: log, name: name, strength: strength, alive: alive, clock: clock, logger: logger,
-		held: map[int]int64{}, owners: map[int]string{}, ownersAt: -ownersMaxAge,
+		held: map[int]int64{}, owners: map[int]string{}, ownersAt: -ownersMaxAge, joinSoon: make(chan struct{}, 1),
 	}
 }
 
@@ -140,14 +153,36 @@
 		if !m.standby && m.join(ctx) {
 			changed(m.Tenures())
 		}
+		if m.settling() {
+			ticker.Reset(settlingInterval)
+		} else {
+			ticker.Reset(joinInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-m.joinSoon:
 		}
 	}
 }
 
+// JoinSoon renews the membership without waiting for the next interval: a peer has
+// left, so its units may have been assigned to this daemon.
+func (m *Member) JoinSoon() {
+	select {
+	case m.joinSoon <- struct{}{}:
+	default:
+	}
+}
+
+// settling reports whether the members have changed recently.
+func (m *Member) settling() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.joined && m.clock()-m.generationAt < settlingPeriod
+}
+
 // elect decides whether this daemon should own units. It reads the list of owners
 // before the first join, so that a weak daemon stays out from its start; if the list
 // can't be read, the daemon joins after unknownOwnersLimit. It reports whether the
@@ -233,6 +268,7 @@
 	expired := m.joined && sent-m.confirmed > ttl && membership.Generation != m.generation
 	if membership.Generation != m.generation {
 		m.reacquisitions = 0
+		m.generationAt = m.clock()
 	}
 	listed := map[int]bool{}
 	changed := false
@@ -250,7 +286,7 @@
 		}
 	}
 	if changed {
-		m.logger.Info("ownership.changed", zap.Int64("generation", membership.Generation), zap.Int("units", len(m.held)), zap.Bool("after_lapse", expired))
+		m.logger.Info("ownership.changed", zap.Int64("generation", membership.Generation), zap.Ints("units", slices.Sorted(maps.Keys(m.held))), zap.Bool("after_lapse", expired))
 	}
 	m.generation, m.confirmed, m.joined = membership.Generation, sent, true
 	return changed
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -194,3 +194,46 @@
 		is.Equal(given, 0)
 	})
 }
+
+// A daemon that is restarted leaves the group, but the next owner of its units
+// learned so only by its next join, up to 300 ms later.
+func TestUnitsPassOnAtOnceWhenAPeerLeaves(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, s *memstore.Store, is *is.I) {
+		leaving, cancel := context.WithCancel(ctx)
+		a, _, _ := startMember(leaving, s, "a:1", 0.4)
+		b, _, _ := startMember(ctx, s, "b:1", 0.4)
+		time.Sleep(3*time.Second + 10*time.Millisecond)
+		cancel()
+		is.NoErr(a.Leave(ctx))
+		b.JoinSoon()
+		time.Sleep(5 * time.Millisecond)
+		is.Equal(len(b.Tenures()), units)
+	})
+}
+
+// A unit passes on once its former owner has joined again, and then the next one:
+// with joins each 300 ms it had no owner for half a second.
+func TestMembersJoinOftenWhileUnitsPassOn(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, s *memstore.Store, is *is.I) {
+		_, client, _ := startMember(ctx, s, "a:1", 0.4)
+		var joins atomic.Int64
+		client.SetFault(func(call string) memstore.Fault {
+			if call == "join" {
+				joins.Add(1)
+			}
+			return memstore.None
+		})
+		countIn := func(d time.Duration) int64 {
+			before := joins.Load()
+			time.Sleep(d)
+			return joins.Load() - before
+		}
+		time.Sleep(5 * time.Second)
+		is.True(countIn(3*time.Second) <= 11)
+		s.Reassign(Group)
+		time.Sleep(joinInterval)
+		is.True(countIn(settlingPeriod-joinInterval) >= 5)
+		time.Sleep(time.Second)
+		is.True(countIn(3*time.Second) <= 11)
+	})
+}
