Compact finished jobs in the store, and keep what can't be read

An accepted job whose progress can't be read is answered as unavailable instead of unknown, and never added anew when its submission is read again (a suspected fault).

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -154,6 +154,18 @@
 // Active reports whether tasks of the job may still start.
 func (j *Job) Active() bool { return !j.cancelled && !j.failed && j.done < j.total() }
 
+// Compact drops what a finished job no longer needs, its payload and tasks, and
+// keeps its state, its names and its total work. It returns the submission to store
+// in place of the former one.
+func (j *Job) Compact() *Submission {
+	s := *j.Submission
+	s.Payload = ""
+	s.Steps = []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Duration(s.Work() * float64(time.Second))}}
+	j.Submission = &s
+	j.occurrences = map[int]*Occurrence{}
+	return &s
+}
+
 // Finished reports whether the job is final and none of its tasks may be running.
 func (j *Job) Finished() bool { return !j.Active() && j.placed == 0 }
 
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -39,10 +39,16 @@
 	Occurrences []occurrenceRecord
 }
 
-// EncodeSubmission returns the stored form of a submission.
+// EncodeSubmission returns the stored form of a submission. Fields without a value
+// are left out.
 func EncodeSubmission(s *Submission) ([]byte, error) {
-	data, err := msgpack.Marshal(s)
-	return data, errors.Wrap(err, "submission")
+	var out bytes.Buffer
+	encoder := msgpack.NewEncoder(&out)
+	encoder.SetOmitEmpty(true)
+	if err := encoder.Encode(s); err != nil {
+		return nil, errors.Wrap(err, "submission")
+	}
+	return out.Bytes(), nil
 }
 
 // DecodeSubmission returns a submission from its stored form, or an error if it
--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -80,6 +80,14 @@
 	return s.Need
 }
 
+// coresPerGPU is how many cores an accelerator counts as, by the users' prices.
+const coresPerGPU = 8
+
+// CoreSeconds returns the work of one task of the step that takes the given time.
+func (s Step) CoreSeconds(d time.Duration) float64 {
+	return d.Seconds() * (float64(s.Need.CPU)/1000 + coresPerGPU*float64(s.Need.GPU))
+}
+
 // Submission is a job as its caller submitted it.
 type Submission struct {
 	ID    string
@@ -107,6 +115,15 @@
 	maxStepTasks = 10_000
 )
 
+// Work returns the estimated work of one occurrence, in core-seconds.
+func (s *Submission) Work() float64 {
+	var work float64
+	for _, step := range s.Steps {
+		work += step.CoreSeconds(step.Estimate) * float64(step.Count)
+	}
+	return work
+}
+
 // Validate returns an error that names the first invalid field, or nil.
 func (s *Submission) Validate() error {
 	if !validID(s.ID) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -87,12 +87,27 @@
 			continue
 		}
 		records = append(records, store.Record{Key: progressPrefix + id, Value: data})
+		if e.job.Finished() {
+			records = u.appendCompacted(records, e)
+		}
 		state, started := e.job.State(), e.job.Started()
 		publishers = append(publishers, func() { u.publishState(e, state, started) })
 	}
 	return append(records, u.commit.extraRecords...), publishers
 }
 
+// appendCompacted replaces a finished job's submission in the store, in the append
+// that records its end: a successor reads the records of all jobs whose state is
+// still shown, and the payloads of finished ones would be most of their bytes.
+func (u *Unit) appendCompacted(records []store.Record, e *entry) []store.Record {
+	data, err := job.EncodeSubmission(e.job.Compact())
+	if err != nil {
+		u.Logger.Error("job.compact_failed", zap.String("job", e.job.ID()), zap.Error(err))
+		return records
+	}
+	return append(records, store.Record{Key: SubmissionPrefix + e.job.ID(), Value: data})
+}
+
 func (u *Unit) publishState(e *entry, state job.State, started bool) {
 	e.startRecorded = started
 	if e.recordedState == state {
--- a/internal/owner/learn.go
+++ b/internal/owner/learn.go
@@ -59,13 +59,6 @@
 	mean float64
 }
 
-func coreSeconds(step job.Step, d time.Duration) float64 {
-	return d.Seconds() * (float64(step.Need.CPU)/1000 + coresPerGPU*float64(step.Need.GPU))
-}
-
-// coresPerGPU is how many cores an accelerator counts as, by the users' prices.
-const coresPerGPU = 8
-
 func (u *Unit) observeWork(e *entry) {
 	w := u.workByQueue[e.job.Submission.Queue]
 	if w == nil {
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -64,6 +64,10 @@
 			state, queue = e.recordedState, e.job.Submission.Queue
 			return
 		}
+		if _, unreadable := u.unreadable[id]; unreadable {
+			err = ErrNotReady
+			return
+		}
 		err = ErrNoJob
 	})
 	if callErr != nil {
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -80,7 +80,7 @@
 		var work float64
 		for _, c := range candidates {
 			if e := u.jobs[c.Job]; e != nil && c.Class <= schedule.Late {
-				work += coreSeconds(*c.Step, u.estimate(e.job.Submission, c.Step)) * float64(len(c.Tasks))
+				work += c.Step.CoreSeconds(u.estimate(e.job.Submission, c.Step)) * float64(len(c.Tasks))
 			}
 		}
 		if cores[pool] > 0 {
@@ -225,7 +225,7 @@
 		if unfinished > 0 {
 			d := u.estimate(e.job.Submission, step)
 			finish[number] += d
-			work += coreSeconds(*step, d) * float64(unfinished)
+			work += step.CoreSeconds(d) * float64(unfinished)
 		}
 		longest = max(longest, finish[number])
 	}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -101,6 +101,9 @@
 func (u *Unit) loadSubmission(r store.Record, progress map[string][]byte, now time.Time) {
 	e := u.addSubmission(r, now)
 	if e == nil {
+		id := strings.TrimPrefix(r.Key, SubmissionPrefix)
+		_, mayHaveRun := progress[id]
+		u.unreadable[id] = mayHaveRun
 		return
 	}
 	data, found := progress[e.job.ID()]
@@ -108,9 +111,11 @@
 		return
 	}
 	if err := e.job.Restore(data, now); err != nil {
-		// A job whose progress can't be read must not run again.
+		// A job whose progress can't be read must not run again, also when its
+		// submission is read again.
 		u.Logger.Error("job.progress_unreadable", zap.String("job", e.job.ID()), zap.Error(err))
 		u.forget(e.job.ID())
+		u.unreadable[e.job.ID()] = true
 		return
 	}
 	e.recordedState = e.job.State()
@@ -203,18 +208,20 @@
 	}
 }
 
-// addSubmission adds a job. It returns nil if the job is already known or its
-// record is unreadable.
+// addSubmission adds a job. It returns nil if the job is already known or a record
+// of it is unreadable.
 func (u *Unit) addSubmission(r store.Record, now time.Time) *entry {
 	id := strings.TrimPrefix(r.Key, SubmissionPrefix)
-	if u.jobs[id] != nil {
+	if u.jobs[id] != nil || u.unreadable[id] {
 		return nil
 	}
 	s, err := job.DecodeSubmission(r.Value)
 	if err != nil || s.ID != id {
 		u.Logger.Error("job.record_unreadable", zap.String("key", r.Key), zap.Error(err))
+		u.unreadable[id] = false
 		return nil
 	}
+	delete(u.unreadable, id)
 	e := newEntry(s)
 	u.addEntry(e)
 	u.observeWork(e)
@@ -240,10 +247,9 @@
 }
 
 func newEntry(s *job.Submission) *entry {
-	e := &entry{job: job.New(s), recordedState: job.Queued, timed: s.Occurrences > 0}
+	e := &entry{job: job.New(s), recordedState: job.Queued, timed: s.Occurrences > 0, totalWork: s.Work()}
 	for _, step := range s.Steps {
 		e.longRunning = e.longRunning || step.Lasting
-		e.totalWork += coreSeconds(step, step.Estimate) * float64(step.Count)
 	}
 	return e
 }
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -121,7 +121,10 @@
 	// earlyCancels holds the IDs of jobs whose cancellation was read before their
 	// submission.
 	earlyCancels map[string]bool
-	loaded       bool
+	// unreadable holds the IDs of accepted jobs of which a record can't be read, and
+	// whether tasks of them may have run.
+	unreadable map[string]bool
+	loaded     bool
 	// mergedOffset is the offset up to which records have been merged.
 	mergedOffset int64
 	// caughtUpAt is when the unit was last known to be read to its end, on the
@@ -181,7 +184,7 @@
 	u := &Unit{
 		Deps: deps, tenure: tenure,
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
-		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
+		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
 		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*forecast.Arrivals{}, workByQueue: map[string]*queueWork{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
