--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -115,6 +115,8 @@
 	moving map[string]movement
 	// draining holds the busy machines that move once they are empty, by name.
 	draining map[string]movement
+	// poolStatesLoggedAt is when the state of the pools was last logged.
+	poolStatesLoggedAt time.Time
 	// lastAppend is the sequence number of the last append under this tenure.
 	lastAppend int64
 }
@@ -223,6 +225,7 @@
 			c.advance(ctx, wave, p)
 		}
 	}
+	c.logPoolStates()
 	c.rebalance(ctx, configuration)
 	c.recordAges(ctx)
 }
