--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -192,11 +192,22 @@
 		return 0
 	}
 	now := s.unit.Clock()
-	s.leaseExpiry.Store(int64(now + s.unit.leaseUpperBound()))
+	s.putOffExpiry(now + s.unit.leaseUpperBound())
 	elapsed := time.Duration(float64(now-reading.at) * minClockRate)
 	return reading.clock + elapsed + s.unit.leaseTerm()
 }
 
+// putOffExpiry moves leaseExpiry to a time unless it is later already: a sender that
+// was held up between reading the clock and here must not bring it forward.
+func (s *session) putOffExpiry(to time.Duration) {
+	for {
+		current := s.leaseExpiry.Load()
+		if current >= int64(to) || s.leaseExpiry.CompareAndSwap(current, int64(to)) {
+			return
+		}
+	}
+}
+
 // pollLoop polls the instance until the session ends.
 func (s *session) pollLoop() {
 	for {
@@ -291,7 +302,11 @@
 		s.unit.post(func() { o.done(errors.Wrap(instance.ErrUnsent, reason)) })
 		return
 	}
-	err := o.send(s.ctx, *s.target.Load(), s.extendLease())
+	var lease time.Duration
+	if o.carriesLease {
+		lease = s.extendLease()
+	}
+	err := o.send(s.ctx, *s.target.Load(), lease)
 	s.unit.post(func() { o.done(err) })
 }
 
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -147,7 +147,7 @@
 	m.startedAt = m.clock()
 	m.electedAt = m.startedAt - electionInterval
 	for {
-		if m.elect(ctx) {
+		if m.elect(ctx) || m.renewGeneration(ctx) {
 			changed(nil)
 		}
 		if !m.standby && m.join(ctx) {
@@ -167,6 +167,18 @@
 	}
 }
 
+// renewGeneration leaves the group if the generation has no epoch left, so that the
+// next join begins a new one. It reports whether the daemon has left.
+func (m *Member) renewGeneration(ctx context.Context) bool {
+	if !m.exhausted() {
+		return false
+	}
+	if err := m.Leave(ctx); err != nil {
+		m.logger.Warn("ownership.leave_failed", zap.Error(err))
+	}
+	return true
+}
+
 // JoinSoon renews the membership without waiting for the next interval: a peer has
 // left, so its units may have been assigned to this daemon.
 func (m *Member) JoinSoon() {
@@ -274,7 +286,7 @@
 	changed := false
 	for _, c := range membership.Claims {
 		listed[c.Partition] = true
-		if _, has := m.held[c.Partition]; !has || expired {
+		if _, has := m.held[c.Partition]; (!has || expired) && m.reacquisitions < epochsPerGeneration {
 			m.held[c.Partition] = membership.Generation*epochsPerGeneration + m.reacquisitions
 			changed = true
 		}
@@ -326,10 +338,17 @@
 	defer m.mu.Unlock()
 	if m.held[t.Unit] == t.Epoch {
 		delete(m.held, t.Unit)
-		m.reacquisitions = min(m.reacquisitions+1, epochsPerGeneration-1)
+		m.reacquisitions++
 	}
 }
 
+// exhausted reports whether the generation has no epoch left for a new tenure.
+func (m *Member) exhausted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reacquisitions >= epochsPerGeneration
+}
+
 // Leave gives up all units and leaves the group.
 func (m *Member) Leave(ctx context.Context) error {
 	m.mu.Lock()
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -237,3 +237,24 @@
 		is.True(countIn(3*time.Second) <= 11)
 	})
 }
+
+// A daemon that finds its tenure fenced again and again, as after a clock of the
+// group that went back, used up the epochs of the generation: then each further
+// tenure had the same epoch and stayed fenced for as long as no member came or went.
+func TestNewGenerationOnceEpochsAreUsedUp(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, s *memstore.Store, is *is.I) {
+		a, _, _ := startMember(ctx, s, "a:1", 0.4)
+		time.Sleep(time.Second)
+		seen := map[Tenure]bool{}
+		for range 2 * epochsPerGeneration {
+			tenure := a.Tenures()[0]
+			is.True(!seen[tenure]) // a tenure that was given up doesn't come back
+			seen[tenure] = true
+			a.Discard(tenure)
+			for tries := 0; len(a.Tenures()) < units && tries < 10; tries++ {
+				time.Sleep(joinInterval)
+			}
+			is.Equal(len(a.Tenures()), units)
+		}
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,8 +39,8 @@
 	Reset func([]store.Record)
 	// Apply is called with the records that were added since.
 	Apply func([]store.Record)
-	// Confirmed is called after each successful read, once its records have been
-	// handed over.
+	// Confirmed is called after each read up to the topic's end, once its records have
+	// been handed over.
 	Confirmed func()
 
 	// down is whether the last read failed.
@@ -97,7 +97,9 @@
 	if len(batch.Records) > 0 {
 		f.Apply(batch.Records)
 	}
-	f.Confirmed()
+	if batch.Next >= batch.End {
+		f.Confirmed()
+	}
 	return batch.Next, nil
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -81,3 +81,22 @@
 		synctest.Wait()
 	})
 }
+
+// endless is a log whose reads return one record of many.
+type endless struct{ store.Log }
+
+func (endless) Read(_ context.Context, _ string, _ int, from int64, _ time.Duration) (store.Batch, error) {
+	return store.Batch{Records: []store.Record{{Key: "a", Value: []byte{1}}}, Next: from + 1, End: from + 100}, nil
+}
+
+// A read is limited in size. While records are left unread, which may say that an
+// instance drains or a data centre is out, the topic must not count as confirmed.
+func TestLimitedReadDoesntConfirm(t *testing.T) {
+	is := is.New(t)
+	confirmed := false
+	f := &Follower{Log: endless{}, Topic: "servers", Logger: zap.NewNop(), Apply: func([]store.Record) {}, Confirmed: func() { confirmed = true }}
+	next, err := f.step(context.Background(), 5)
+	is.NoErr(err)
+	is.Equal(next, int64(6))
+	is.True(!confirmed)
+}
