Never show a key's hash, and report services without hours

A secret entered where its hash belongs was printed by two faults of a configuration (the same hash, a duplicate key; also a value of another type). Values of a field that may hold a secret are now shown by their length alone. 'beryltide report burn' panicked on a service without hourly counts (TestReportOfAServiceWithoutHours: index out of range before).

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -151,3 +151,14 @@
 	is.Equal(sum, Counts{Refused: sources + 1})
 	is.True(worst)
 }
+
+// A daemon's answer may name a service without hourly counts: the report of the
+// command-line tool ended in a panic (index out of range).
+func TestReportOfAServiceWithoutHours(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	h := Restore(State{Services: []ServiceState{{Service: "proofing"}}})
+	r := NewReport(h, map[string]configuration.Service{"proofing": {AvailabilityObjective: 0.99}}, now)
+	is.Equal(len(r.Services), 1)
+	is.Equal(len(r.Services[0].Hours), 0)
+}
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -142,7 +142,7 @@
 			r.BudgetLeft = 1 - w.Rate
 		}
 	}
-	if buckets := h.services[name]; buckets != nil {
+	if buckets := h.services[name]; buckets != nil && len(buckets[hours]) > 0 {
 		r.Hours = buckets[hours]
 		r.Since = buckets[hours][0].Start
 	}
--- a/internal/configuration/bind.go
+++ b/internal/configuration/bind.go
@@ -15,6 +15,8 @@
 type binder struct {
 	file   string
 	faults Faults
+	// secret is true while a field is bound that may hold a secret by mistake.
+	secret bool
 }
 
 func (b *binder) addFault(path, value, problem string) {
@@ -22,7 +24,17 @@
 }
 
 func (b *binder) wrongType(path string, n node, want string) {
-	b.addFault(path, n.String(), "want "+want)
+	b.addFault(path, b.shown(n), "want "+want)
+}
+
+// shown returns what a fault shows of a value: nothing of the fields that may hold a
+// secret.
+func (b *binder) shown(n node) string {
+	if !b.secret {
+		return n.String()
+	}
+	text, _ := n.scalar.(string)
+	return string(redactedHash(text))
 }
 
 func (b *binder) bind(path string, n node, into reflect.Value) {
@@ -50,14 +62,16 @@
 	for _, m := range n.members {
 		memberPath := join(path, m.name)
 		i, known := fields[m.name]
+		b.secret = known && into.Type().Field(i).Tag.Get("secret") == "true"
 		switch {
 		case seen[m.name]:
-			b.addFault(memberPath, m.value.String(), "duplicate key")
+			b.addFault(memberPath, b.shown(m.value), "duplicate key")
 		case !known:
 			b.addFault(memberPath, "", "unknown field")
 		default:
 			b.bind(memberPath, m.value, into.Field(i))
 		}
+		b.secret = false
 		seen[m.name] = true
 	}
 	for i := range into.NumField() {
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -102,7 +102,7 @@
 type Key struct {
 	Team string `json:"team"`
 	// Hash is the SHA-256 of the secret in hexadecimal.
-	Hash string `json:"hash"`
+	Hash string `json:"hash" secret:"true"`
 }
 
 // Maintenance is the schedule of rolling reboots.
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -140,9 +140,7 @@
 
 func (v *validator) key(path string, k Key) {
 	v.requireReference(path+".team", "team", k.Team, hasEntry(v.doc.Teams, k.Team))
-	// The value may be a secret that was entered by mistake, so it isn't shown.
-	shown := fmt.Sprintf("(%d characters)", len(k.Hash))
-	v.require(hashPattern.MatchString(k.Hash), path+".hash", redacted(shown), "must be a SHA-256 in 64 lower-case hexadecimal digits")
+	v.require(hashPattern.MatchString(k.Hash), path+".hash", redactedHash(k.Hash), "must be a SHA-256 in 64 lower-case hexadecimal digits")
 }
 
 func (v *validator) uniqueHashes() {
@@ -150,7 +148,7 @@
 	for _, name := range slices.Sorted(maps.Keys(v.doc.Keys)) {
 		hash := v.doc.Keys[name].Hash
 		first, taken := keyByHash[hash]
-		v.require(!taken, join("keys", name)+".hash", hash, "key "+first+" has the same hash")
+		v.require(!taken, join("keys", name)+".hash", redactedHash(hash), "key "+first+" has the same hash")
 		if !taken {
 			keyByHash[hash] = name
 		}
@@ -178,6 +176,12 @@
 // redacted is a text shown in place of a value that may be secret.
 type redacted string
 
+// redactedHash returns what is shown of a key's hash, in whose place a secret may
+// have been entered by mistake.
+func redactedHash(hash string) redacted {
+	return redacted(fmt.Sprintf("(%d characters)", len(hash)))
+}
+
 func show(value any) string {
 	switch v := value.(type) {
 	case nil:
