Stop gracefully when a listener fails

Both daemons returned at once when one of their listeners failed, so that running requests were cut and units waited for their member to lapse. They now stop as on SIGTERM and return the listener's error.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -207,8 +207,8 @@
 	return nil
 }
 
-// Run serves until ctx ends, then stops gracefully (see shutdown). It returns
-// early if a listener fails.
+// Run serves until ctx ends or a listener fails, then stops gracefully (see
+// shutdown). It returns the listener's error.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -243,15 +243,18 @@
 	go d.loadExchange.Run(background)
 	go d.handover.Run(background)
 
+	var failure error
 	select {
-	case err := <-serveErrors:
-		return err
+	case failure = <-serveErrors:
 	case <-ctx.Done():
 	}
 	d.shutdown(callers, cancelRequests)
 	d.ports.Peers.Close()
 	d.peers.Close()
-	return errors.Wrap(operators.Close(), "operations")
+	if err := operators.Close(); failure == nil {
+		failure = errors.Wrap(err, "operations")
+	}
+	return failure
 }
 
 // checkReady returns why the load balancer should send no requests here, or nil.
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// Run serves until the context ends, then stops gracefully. It returns early with
-// the error of a listener that failed.
+// Run serves until the context ends or a listener fails, then stops gracefully. It
+// returns the listener's error.
 func (d *Daemon) Run(ctx context.Context) error {
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	defer cancelWork()
@@ -150,13 +150,16 @@
 	go func() { serveErrors <- serve(d.server(http.HandlerFunc(d.ready)), d.ports.ReadinessListener) }()
 	go func() { serveErrors <- serve(d.server(d.operations()), d.ports.OperationsListener) }()
 	d.logger.Info("daemon.started", zap.String("instance", d.settings.Instance), zap.String("member", d.member.Name()))
+	var failure error
 	select {
-	case err := <-serveErrors:
-		return err
+	case failure = <-serveErrors:
 	case <-ctx.Done():
 	}
 	cancelMember()
-	return d.stop(callers)
+	if err := d.stop(callers); failure == nil {
+		failure = err
+	}
+	return failure
 }
 
 func (d *Daemon) deps(unitOf func(string) int) owner.Deps {
