Reach the store through a peer while it turns this daemon away

Cause: an outage of the store may hit some machines only. An owner among them made no start until its membership lapsed and a successor had taken its units over.

Membership goes through the peer as well, so units and the leader stay.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -96,6 +96,9 @@
 	ports    Ports
 	logger   *zap.Logger
 	view     *fleetview.View
+	// log is the store's log, reached directly or through a peer.
+	log      *store.Relayed
+	relay    *relay
 	member   *ownership.Member
 	peers    *ownerrpc.Client
 	pools    *unitmap.Map
@@ -115,13 +118,18 @@
 		_, err := peers.Away(ctx, address)
 		return err == nil
 	}
-	member := ownership.New(ports.Log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, alive, ports.Clock, logger)
-	return &Daemon{
-		settings: s, ports: ports, logger: logger, view: view, member: member, peers: peers,
-		pools: unitmap.New(ports.Log, s.Units, logger), stopping: make(chan struct{}),
-	}
+	d := &Daemon{settings: s, ports: ports, logger: logger, view: view, peers: peers, stopping: make(chan struct{})}
+	d.relay = &relay{ctx: context.Background(), candidates: d.relayCandidates, peers: peers, logger: logger}
+	d.log = store.Relay(ports.Log, d.relay.log)
+	d.member = ownership.New(d.log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, alive, ports.Clock, logger)
+	d.pools = unitmap.New(d.log, s.Units, logger)
+	return d
 }
 
+// relayCandidates returns the addresses of the daemons that may relay calls to the
+// store.
+func (d *Daemon) relayCandidates() []string { return d.member.Peers() }
+
 // Run serves until the context ends or a listener fails, then stops gracefully. It
 // returns the listener's error.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -130,7 +138,7 @@
 	unitOf := d.pools.Of
 	d.units = newUnits(workCtx, d.deps(unitOf), d.fleetController())
 	d.service = &intake.Service{
-		Log: d.ports.Log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Logger: d.logger,
+		Log: d.log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Logger: d.logger,
 	}
 	d.outage = &outage{log: d.ports.Log, member: d.member, peers: d.peers, logger: d.logger}
 	go d.outage.run(workCtx)
@@ -143,7 +151,7 @@
 	go d.member.Run(memberCtx, d.units.set)
 	serveErrors := make(chan error, 4)
 	go func() {
-		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, d.units, d.ports.Log, d.member.JoinSoon, d.logger)
+		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, d.units, d.log, d.member.JoinSoon, d.logger)
 	}()
 	callers := d.server(d.ports.Callers(d.service, d.view))
 	go func() { serveErrors <- serve(callers, d.ports.CallersListener) }()
@@ -165,7 +173,7 @@
 func (d *Daemon) deps(unitOf func(string) int) owner.Deps {
 	b := d.settings.Bounds
 	return owner.Deps{
-		Log: d.ports.Log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, View: d.view, Clock: d.ports.Clock,
+		Log: d.log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, View: d.view, Clock: d.ports.Clock,
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Harm: millis(b.HarmMS), Notice: millis(b.NoticeMS),
@@ -194,7 +202,7 @@
 		}
 		owners := &poolOwners{units: d.units, peers: d.peers, member: d.member, unitOf: d.pools.Of}
 		c := &maintenance.Controller{
-			Log: d.ports.Log, Machines: d.ports.Machines, Owners: owners, View: d.view, Clock: d.ports.Clock,
+			Log: d.log, Machines: d.ports.Machines, Owners: owners, View: d.view, Clock: d.ports.Clock,
 			Logger: d.logger, Tenure: t, Holds: d.member.HoldsWithin, Name: d.settings.Instance,
 			OrderLimiter: rate.NewLimiter(rate.Limit(orderRateShare*d.settings.DutiesPerSecond), orderBurst),
 			Handover:     maintenance.OrderGrace + millis(d.settings.Bounds.DutyLeaseMS),
@@ -236,7 +244,7 @@
 
 func (d *Daemon) operatorFollower() *registry.Follower {
 	return &registry.Follower{
-		Log: d.ports.Log, Topic: d.ports.OperatorTopic, Logger: d.logger, Wait: configurationWait,
+		Log: d.log, Topic: d.ports.OperatorTopic, Logger: d.logger, Wait: configurationWait,
 		Reset: d.view.ResetOperator, Apply: d.view.ApplyOperator, Confirmed: d.view.ConfirmConfiguration,
 	}
 }
@@ -247,7 +255,7 @@
 // daemons and instances.
 func (d *Daemon) registryFollower() *registry.Follower {
 	return &registry.Follower{
-		Log: d.ports.Log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: registryReadInterval, Needed: d.units.anyInUse,
+		Log: d.log, Topic: d.ports.RegistryTopic, Logger: d.logger, Pause: registryReadInterval, Needed: d.units.anyInUse,
 		Reset: d.view.ResetRegistry, Apply: d.view.ApplyRegistry, Confirmed: d.view.ConfirmRegistry,
 	}
 }
--- a/internal/fleetd/outage_test.go
+++ b/internal/fleetd/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,9 +24,11 @@
 func alwaysAlive(context.Context, string) bool { return true }
 
 // fakeClock is a clock that tests advance.
-type fakeClock struct{ now time.Duration }
+type fakeClock struct{ now atomic.Int64 }
 
-func (c *fakeClock) read() time.Duration { return c.now }
+func (c *fakeClock) read() time.Duration { return time.Duration(c.now.Load()) }
+
+func (c *fakeClock) advance(by time.Duration) { c.now.Add(int64(by)) }
 
 // unreachableLog returns a log whose store fails all calls, after enough failures
 // to detect the outage.
@@ -35,7 +38,7 @@
 	for range 3 {
 		_, err := log.Owners(t.Context(), ownership.Group)
 		is.New(t).True(err != nil)
-		clock.now += 200 * time.Millisecond
+		clock.advance(200 * time.Millisecond)
 	}
 	return log
 }
@@ -63,7 +66,7 @@
 				logs = append(logs, startOwner(t, s, served, clock))
 			}
 			client := s.Client()
-			member := ownership.New(store.Watch(client, clock.read), "127.0.0.1:1", "1", 1, alwaysAlive, clock.read, zap.NewNop())
+			member := ownership.New(store.Direct(store.Watch(client, clock.read)), "127.0.0.1:1", "1", 1, alwaysAlive, clock.read, zap.NewNop())
 			member.Locate(t.Context(), 0, true) // reads the owners
 			for n, log := range logs {
 				is.Equal(log.Away() == 0, c.peers[n])
@@ -92,6 +95,6 @@
 	if !served {
 		log = unreachableLog(t, client, clock)
 	}
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, log, func() {}, zap.NewNop()) }()
+	go func() { _ = ownerrpc.Serve(listener, noUnits{}, store.Direct(log), func() {}, zap.NewNop()) }()
 	return log
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -49,7 +49,7 @@
 
 // Service serves callers' requests. Its methods may be called concurrently.
 type Service struct {
-	Log    *store.Watched
+	Log    *store.Relayed
 	Units  ownerrpc.Units
 	Peers  *ownerrpc.Client
 	Member *ownership.Member
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -41,9 +41,9 @@
 }
 
 // watch observes a client's calls on the monotonic clock.
-func watch(client *memstore.Client) *store.Watched {
+func watch(client *memstore.Client) *store.Relayed {
 	begin := time.Now()
-	return store.Watch(client, func() time.Duration { return time.Since(begin) })
+	return store.Direct(store.Watch(client, func() time.Duration { return time.Since(begin) }))
 }
 
 func newService(client *memstore.Client) *Service {
--- a/internal/ownerrpc/client.go
+++ b/internal/ownerrpc/client.go
@@ -10,8 +10,13 @@
 	"github.com/pkg/errors"
 )
 
-// dialTimeout is far above the time to connect between data centres (2 ms).
-const dialTimeout = 250 * time.Millisecond
+const (
+	// dialTimeout is far above the time to connect between data centres (2 ms).
+	dialTimeout = 250 * time.Millisecond
+	// silentAfter is how long a call has no answer before its connection counts as
+	// dead when the caller gives up: connections may fall silent without an error.
+	silentAfter = 200 * time.Millisecond
+)
 
 // ErrUnsent means that the call never left this daemon.
 var ErrUnsent = errors.New("the peer can't be reached")
@@ -76,18 +81,24 @@
 	return c.Call(ctx, address, serviceName+".Left", LeftRequest{}, &LeftReply{})
 }
 
-// Call makes one call of at most callTimeout, plus dialTimeout to connect. A
-// connection that failed, or without an answer in time, is closed, as it may be dead.
-// An error of the server's method, or a caller that gives up earlier, leaves it open
-// for the other callers. The reply must not be used after an error, as a late answer
-// may still be written to it.
+// Call makes one call of at most callTimeout, plus dialTimeout to connect.
 func (c *Client) Call(ctx context.Context, address, method string, req, reply any) error {
+	return c.callWithin(ctx, callTimeout, address, method, req, reply)
+}
+
+// callWithin makes one call of at most a time, plus dialTimeout to connect. A
+// connection that failed, or without an answer in time, is closed, as it may be dead.
+// An error of the server's method, or a caller that gives up before silentAfter,
+// leaves it open for the other callers. The reply must not be used after an error, as
+// a late answer may still be written to it.
+func (c *Client) callWithin(ctx context.Context, timeout time.Duration, address, method string, req, reply any) error {
 	conn, err := c.connection(address)
 	if err != nil {
 		return err
 	}
+	begin := time.Now()
 	call := conn.Go(method, req, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(callTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case done := <-call.Done:
@@ -100,6 +111,9 @@
 		c.drop(address, conn)
 		return errors.Wrap(errNoAnswer, method)
 	case <-ctx.Done():
+		if time.Since(begin) > silentAfter {
+			c.drop(address, conn)
+		}
 		return errors.Wrap(ctx.Err(), method)
 	}
 }
--- a/internal/ownerrpc/client_test.go
+++ b/internal/ownerrpc/client_test.go
@@ -34,7 +34,7 @@
 		<-slow
 		return memstore.LoseAnswer
 	})
-	log := store.Watch(client, bootclock.System)
+	log := store.Direct(store.Watch(client, bootclock.System))
 	go func() { _ = Serve(listener, noUnits{}, log, func() {}, zap.NewNop()) }()
 	c := NewClient()
 	address := listener.Addr().String()
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -124,7 +124,10 @@
 // have the form that net/rpc requires.
 type Server struct {
 	units Units
-	log   *store.Watched
+	// log is this daemon's own way to the store, relayed the one that may lead through
+	// a peer.
+	log     *store.Watched
+	relayed *store.Relayed
 	// membersChanged is called when a peer reports that it has left the owners.
 	membersChanged func()
 }
@@ -133,13 +136,13 @@
 // the unit's owner merges them. An error means that the append may have taken
 // effect.
 func (s *Server) Store(req StoreRequest, reply *StoreReply) error {
-	if s.log.Away() > 0 {
+	if s.relayed.Away() > 0 {
 		reply.Code = NotReady
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	err := s.log.Append(ctx, ownership.Topic, req.Unit, req.Records, nil)
+	err := s.relayed.Append(ctx, ownership.Topic, req.Unit, req.Records, nil)
 	switch {
 	case err == nil:
 		reply.Code = OK
@@ -267,9 +270,9 @@
 
 // Serve serves calls on a listener until it is closed. It calls membersChanged when
 // a peer has left the owners.
-func Serve(l net.Listener, units Units, log *store.Watched, membersChanged func(), logger *zap.Logger) error {
+func Serve(l net.Listener, units Units, log *store.Relayed, membersChanged func(), logger *zap.Logger) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Server{units: units, log: log, membersChanged: membersChanged}); err != nil {
+	if err := server.RegisterName(serviceName, &Server{units: units, log: log.Watched, relayed: log, membersChanged: membersChanged}); err != nil {
 		return errors.Wrap(err, "register")
 	}
 	for {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -33,7 +33,7 @@
 func startMember(ctx context.Context, s *memstore.Store, address string, strength float64) (*Member, *memstore.Client, *fakeHost) {
 	h := &fakeHost{began: time.Now()}
 	client := s.Client()
-	m := New(store.Watch(client, h.clock), address, "1", strength, alwaysAlive, h.clock, zap.NewNop())
+	m := New(store.Direct(store.Watch(client, h.clock)), address, "1", strength, alwaysAlive, h.clock, zap.NewNop())
 	go m.Run(ctx, func([]Tenure) {})
 	return m, client, h
 }
@@ -145,7 +145,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		h := &fakeHost{began: time.Now()}
-		log := store.Watch(s.Client(), h.clock)
+		log := store.Direct(store.Watch(s.Client(), h.clock))
 		var stopped sync.Map
 		weak := New(log, "w:1", "1", 0.2, func(_ context.Context, address string) bool {
 			_, found := stopped.Load(address)
@@ -185,7 +185,7 @@
 			return memstore.None
 		})
 		given := 0
-		weak := New(store.Watch(client, h.clock), "weak:1", "1", 0.2, alwaysAlive, h.clock, zap.NewNop())
+		weak := New(store.Direct(store.Watch(client, h.clock)), "weak:1", "1", 0.2, alwaysAlive, h.clock, zap.NewNop())
 		go weak.Run(ctx, func(t []Tenure) { given += len(t) })
 		time.Sleep(2 * time.Second)
 		client.SetFault(nil)
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -77,6 +77,14 @@
 	return h.away(h.clock())
 }
 
+// Failing reports whether the last calls have all failed, as many as in an outage. It
+// may turn out to be a moment of lost connections.
+func (h *Health) Failing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures >= h.threshold && h.clock()-h.lastFailureAt < failureTTL
+}
+
 // untilRecovery returns a context that is cancelled when the store serves a call
 // again after an outage: calls sent during the outage may never be answered.
 func (h *Health) untilRecovery(ctx context.Context) (context.Context, context.CancelFunc) {
