Answer what may have counted as such, and report dropped records (suspected faults)

- intake.appendWithRetry answered "not run" after an append that may have counted, when the pool lost its unit between two attempts.
It answers "may run" now.
Test: TestSubmissionMayRunAfterThePoolLosesItsUnit (failed before).
- operator.Apply answered "stale" to a change that was accepted and then followed by others, if the log dropped its record before it was read back.
The checkpoint names only the newest change, so the outcome is unknown, and is reported so.
Test: TestApplyOfADroppedRecordIsUnknown (failed before).
- outbox dropped a record that can't be encoded without a line; it logs control.record_dropped.
- owner.encodeDirty sent a start although its record failed to encode.
The progress holds only types that the encoder takes, and a buffer takes every write, so this can't happen; TestProgressHasOnlyTypesThatCanBeEncoded keeps it so, and job.Record panics instead of returning an error that its caller would have to pass over.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -239,7 +239,7 @@
 		l.stopOutbox()
 	}
 	l.self = record.MemberID(l.opts.Identity.Instance + "/" + uuid.NewString())
-	l.outbox = outbox.New(l.opts.Log, platform.StreamControl, l.self)
+	l.outbox = outbox.New(l.opts.Log, platform.StreamControl, l.self, l.opts.Logger)
 	outboxCtx, stop := context.WithCancel(ctx)
 	l.stopOutbox = stop
 	go l.outbox.Run(outboxCtx)
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -48,6 +48,9 @@
 	for {
 		unit := s.UnitOf(pool)
 		if unit == unitmap.None {
+			if uncertain {
+				return errors.Wrap(ErrMayRun, "the pool has lost its unit")
+			}
 			return errors.Wrap(ErrNotRun, "no unit is assigned to the pool yet")
 		}
 		err := s.appendInBatch(ctx, unit, r)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -18,6 +18,7 @@
 	"github.com/beryltide/beryltide/internal/ownerrpc"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/store"
+	"github.com/beryltide/beryltide/internal/unitmap"
 )
 
 type noUnits struct{}
@@ -120,6 +121,29 @@
 	}
 }
 
+// A submission must not be answered as not run after an append that may have counted.
+// That happened when the pool lost its unit, as its configuration was withdrawn,
+// between two attempts of the same submission.
+func TestSubmissionMayRunAfterThePoolLosesItsUnit(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New(4)
+	local := s.Client()
+	local.SetFault(loseAppends)
+	startOwner(t, s, local)
+	service := newService(local)
+	lookups := 0
+	service.UnitOf = func(string) int {
+		if lookups++; lookups > 1 {
+			return unitmap.None
+		}
+		return 1
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.True(errors.Is(service.Submit(ctx, submission()), ErrMayRun))
+	is.True(lookups > 1) // the pool had lost its unit
+}
+
 // Records that arrive while an append is in flight are stored together in the
 // next append.
 func TestRecordsAreStoredInBatches(t *testing.T) {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -1,10 +1,13 @@
 package job
 
 import (
+	"encoding"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -171,6 +174,32 @@
 }
 
 // Restore recreates a job's state from its record after any sequence of events.
+// Progress of every kind must be encodable: a job's start must not go out without its
+// record. It could, after an error of the encoder. Such an error needs a field of a
+// type with an encoder of its own, or one that the format doesn't have.
+func TestProgressHasOnlyTypesThatCanBeEncoded(t *testing.T) {
+	var check func(path string, typ reflect.Type)
+	check = func(path string, typ reflect.Type) {
+		switch typ.Kind() {
+		case reflect.Bool, reflect.Int, reflect.Int8, reflect.Int64, reflect.Uint8, reflect.String:
+		case reflect.Slice:
+			check(path+"[]", typ.Elem())
+		case reflect.Struct:
+			for i := range typ.NumField() {
+				check(path+"."+typ.Field(i).Name, typ.Field(i).Type)
+			}
+		default:
+			t.Errorf("%s: %s", path, typ)
+		}
+		for _, encoder := range []reflect.Type{reflect.TypeFor[msgpack.Marshaler](), reflect.TypeFor[msgpack.CustomEncoder](), reflect.TypeFor[encoding.BinaryMarshaler](), reflect.TypeFor[encoding.TextMarshaler]()} {
+			if typ.Implements(encoder) || reflect.PointerTo(typ).Implements(encoder) {
+				t.Errorf("%s: %s implements %s", path, typ, encoder)
+			}
+		}
+	}
+	check("progress", reflect.TypeFor[progressRecord]())
+}
+
 func TestRecordRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := submission(
@@ -182,10 +211,7 @@
 		for range rapid.IntRange(0, 30).Draw(t, "events") {
 			randomEvent(t, j)
 		}
-		data, err := j.Record()
-		if err != nil {
-			t.Fatal(err)
-		}
+		data := j.Record()
 		restored := New(s)
 		if err := restored.Restore(data, now); err != nil {
 			t.Fatal(err)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -65,8 +65,9 @@
 }
 
 // Record returns the stored form of the job's progress. AvoidInstance and
-// WaitingSince aren't stored.
-func (j *Job) Record() ([]byte, error) {
+// WaitingSince aren't stored. It panics if the progress can't be encoded, which its
+// types rule out: a start must never go out without its record.
+func (j *Job) Record() []byte {
 	r := progressRecord{Next: j.nextOccurrence, Done: j.done, Cancelled: j.cancelled, Failed: j.failed, Started: j.started}
 	if !j.Finished() {
 		numbers := map[string]int{}
@@ -78,9 +79,9 @@
 	encoder := msgpack.NewEncoder(&out)
 	encoder.UseArrayEncodedStructs(true) // field names would be most of a record
 	if err := encoder.Encode(&r); err != nil {
-		return nil, errors.Wrap(err, "progress")
+		panic(errors.Wrap(err, "progress"))
 	}
-	return out.Bytes(), nil
+	return out.Bytes()
 }
 
 func (r *progressRecord) occurrence(o *Occurrence, numbers map[string]int) occurrenceRecord {
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -20,8 +20,9 @@
 	"github.com/beryltide/beryltide/internal/replay"
 )
 
-// ErrUnknown reports that the context ended before the change was read back from
-// the log. The change may still become active, or may be lost.
+// ErrUnknown reports that the change could not be read back from the log: the context
+// ended, or the log dropped the part that would show the outcome. The change may have
+// been active, may still become so, or may be lost.
 var ErrUnknown = errors.New("the outcome of the change is unknown")
 
 // Timeouts and retry delays of a change.
@@ -56,7 +57,7 @@
 
 // Apply appends the change to the log and reads back whether it was accepted.
 // The error wraps configuration.ErrStale if another change was accepted first,
-// and ErrUnknown if ctx ended before the outcome was read.
+// and ErrUnknown if the outcome wasn't read.
 func Apply(ctx context.Context, log platform.Log, c Change) (Applied, error) {
 	state, err := replay.State(ctx, log)
 	if err != nil {
@@ -88,6 +89,9 @@
 	// reject it; accepted is set if it was accepted.
 	decided  bool
 	accepted bool
+	// dropped is set once the log has dropped the record that followed the base
+	// revision, this one or another.
+	dropped bool
 }
 
 func newAttempt(log platform.Log, state *controlstate.State, c Change, delta configuration.Delta) (*attempt, error) {
@@ -117,6 +121,8 @@
 		switch {
 		case a.accepted:
 			return Applied{Revision: a.base + 1, State: a.state.Snapshot()}, nil
+		case a.dropped:
+			return Applied{}, errors.Wrapf(ErrUnknown, "the log has dropped revision %d", a.base+1)
 		case a.decided:
 			snap := a.state.Snapshot()
 			return Applied{}, errors.Wrapf(configuration.ErrStale, "revision %d was accepted first", snap.Revision)
@@ -164,8 +170,12 @@
 		return err
 	}
 	a.state = state
-	if state.Snapshot().ConfiguredBy == a.id {
+	snap := state.Snapshot()
+	switch {
+	case snap.ConfiguredBy == a.id:
 		a.decided, a.accepted = true, true
+	case snap.Revision > a.base+1:
+		a.dropped = true
 	}
 	return nil
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -28,10 +28,12 @@
 	return logclient.New("http://log", standin.Transport{Handler: l})
 }
 
-// hookedLog calls beforeAppend once, before the first append is sent.
+// hookedLog calls beforeAppend once, before the first append is sent, and afterAppend
+// once, after its answer.
 type hookedLog struct {
 	platform.Log
 	beforeAppend func()
+	afterAppend  func()
 }
 
 func (l *hookedLog) Append(ctx context.Context, s platform.Stream, data []byte) error {
@@ -40,7 +42,13 @@
 		l.beforeAppend = nil
 		hook()
 	}
-	return l.Log.Append(ctx, s, data)
+	err := l.Log.Append(ctx, s, data)
+	if l.afterAppend != nil {
+		hook := l.afterAppend
+		l.afterAppend = nil
+		hook()
+	}
+	return err
 }
 
 func TestApplyRejectsTheSlowerOfTwoOperators(t *testing.T) {
@@ -110,10 +118,9 @@
 	}
 }
 
-func TestReplayStartsFromTheNewestCheckpoint(t *testing.T) {
+// applySix applies six changes, each with a checkpoint.
+func applySix(t *testing.T, log platform.Log) {
 	is := is.New(t)
-	l := standin.NewLog(3)
-	log := connect(l)
 	ctx := t.Context()
 	for limit := 1; limit <= 6; limit++ {
 		applied, err := Apply(ctx, log, Change{Document: documentWithTeam("a", limit), Base: AnyBase})
@@ -122,6 +129,27 @@
 		is.NoErr(err)
 		is.NoErr(log.Append(ctx, platform.StreamCheckpoint, data))
 	}
+}
+
+// A change that was accepted must not be reported as stale. That happened when other
+// changes followed and the log dropped its record before its author had read it: the
+// checkpoint that the author went on from names only the newest change.
+func TestApplyOfADroppedRecordIsUnknown(t *testing.T) {
+	is := is.New(t)
+	log := connect(standin.NewLog(3))
+	hooked := &hookedLog{Log: log, afterAppend: func() { applySix(t, log) }}
+	_, err := Apply(t.Context(), hooked, Change{Document: documentWithTeam("b", 2), Base: AnyBase})
+	is.True(errors.Is(err, ErrUnknown))
+	state, err := replay.State(t.Context(), log)
+	is.NoErr(err)
+	is.Equal(state.Snapshot().Revision, uint64(7)) // the change was accepted, then replaced
+}
+
+func TestReplayStartsFromTheNewestCheckpoint(t *testing.T) {
+	is := is.New(t)
+	log := connect(standin.NewLog(3))
+	ctx := t.Context()
+	applySix(t, log)
 	is.NoErr(log.Append(ctx, platform.StreamCheckpoint, []byte("corrupt")))
 	state, err := replay.State(ctx, log)
 	is.NoErr(err)
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -13,6 +13,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/beryltide/beryltide/internal/platform"
 	"github.com/beryltide/beryltide/internal/record"
@@ -31,6 +32,7 @@
 	log    platform.Log
 	stream platform.Stream
 	author record.MemberID
+	logger *zap.Logger
 
 	mu      sync.Mutex
 	seq     uint64
@@ -48,8 +50,8 @@
 }
 
 // New returns an outbox for the records of author.
-func New(log platform.Log, stream platform.Stream, author record.MemberID) *Outbox {
-	return &Outbox{log: log, stream: stream, author: author, wake: make(chan struct{}, 1)}
+func New(log platform.Log, stream platform.Stream, author record.MemberID, logger *zap.Logger) *Outbox {
+	return &Outbox{log: log, stream: stream, author: author, logger: logger, wake: make(chan struct{}, 1)}
 }
 
 // Submit queues a record. Records are sent in the order of submission.
@@ -94,6 +96,7 @@
 	for {
 		next, err := o.next()
 		if err != nil {
+			o.logger.Error("control.record_dropped", zap.Error(err))
 			continue
 		}
 		if next == nil {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -81,12 +81,7 @@
 	var records []store.Record
 	var publishers []func()
 	for id, e := range u.commit.dirty {
-		data, err := e.job.Record()
-		if err != nil {
-			u.Logger.Error("job.record_failed", zap.String("job", id), zap.Error(err))
-			continue
-		}
-		records = append(records, store.Record{Key: progressPrefix + id, Value: data})
+		records = append(records, store.Record{Key: progressPrefix + id, Value: e.job.Record()})
 		if e.job.Finished() {
 			records = u.appendCompacted(records, e)
 		}
