Count demand by the resource that runs out first

Cause: what a pool needs, has free and will need was counted in cores alone.

Change: a task counts as the largest part that it takes of an instance's CPU, memory or accelerators (internal/owner/occupancy.go); waiting and arriving work is summed by resource, and the largest sum counts, so tasks that complement each other aren't counted twice. The free capacity of an instance is the smaller of CPU and memory.

Tests: TestDemandCountsTheResourceThatRunsOutFirst, TestForecastAndLongRunningTasksCountMemory (both fail with cores alone).

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -34,25 +34,24 @@
 		}
 	}
 	if a := u.arrivals[pool]; a != nil {
-		d.ArrivingCPU = int(a.Cores(now, u.Bounds.Move) * 1000)
+		d.ArrivingCPU = int(a.cores(now, u.Bounds.Move) * 1000)
 	}
 	smallest := u.addWaiting(&d, pool)
+	var lasting occupancy
 	for _, n := range u.nodes(pool, now) {
-		d.LastingCPU += n.LongRunningCPU
+		lasting = lasting.add(allocated(n.LongRunning, n.Capacity), 1)
 		d.UsableCPU += n.Capacity.CPU
-		free := max(n.Free.CPU, 0)
-		if smallest > 0 {
-			free -= free % smallest
-		}
-		d.FreeCPU += free
+		d.FreeCPU += freeCPU(n.Free, n.Capacity, smallest)
 	}
+	d.LastingCPU = lasting.largest()
 	return d
 }
 
 // addWaiting adds the waiting tasks that more machines could run, and returns the
-// smallest CPU need of one; 0 if there is none.
-func (u *Unit) addWaiting(d *rebalance.Demand, pool string) (smallest int) {
-	size := u.meanInstanceCPU[pool]
+// smallest need of one for each resource; 0 if there is none.
+func (u *Unit) addWaiting(d *rebalance.Demand, pool string) (smallest job.Resources) {
+	size := u.meanInstance[pool]
+	var waiting occupancy
 	allowances := map[*job.Resources]job.Resources{}
 	for _, c := range u.waiting[pool] {
 		e := u.jobs[c.Job]
@@ -63,17 +62,24 @@
 		if tasks == 0 {
 			continue
 		}
-		need := c.Step.Need.CPU
-		occupied := occupiedCPU(need, size)
-		d.WaitingCPU += occupied * tasks
-		d.WaitingWork += u.estimate(e.job.Submission, c.Step).Seconds() * float64(occupied*tasks) / 1000
-		if need > 0 && (smallest == 0 || need < smallest) {
-			smallest = need
-		}
+		task := occupancyOf(c.Step.Need, size)
+		waiting = waiting.add(task, tasks)
+		d.WaitingWork += u.estimate(e.job.Submission, c.Step).Seconds() * float64(task.largest()*tasks) / 1000
+		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
+		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
+	d.WaitingCPU = waiting.largest()
 	return smallest
 }
 
+// smaller returns the smaller of two needs; 0 stands for none.
+func smaller(a, b int) int {
+	if a <= 0 || b <= 0 {
+		return max(a, b, 0)
+	}
+	return min(a, b)
+}
+
 // withinAllowance returns how many of a candidate's waiting tasks its team may still
 // start. The map holds what remains of each allowance; the count is deducted from it.
 func withinAllowance(c *schedule.Candidate, remaining map[*job.Resources]job.Resources) int {
@@ -93,28 +99,20 @@
 	return tasks
 }
 
-// occupiedCPU returns the share of an instance's CPU that a task takes if the
-// instance runs as many of them as fit.
-func occupiedCPU(need, size int) int {
-	if need <= 0 || need > size {
-		return need
-	}
-	return size / (size / need)
-}
-
-// measureInstances updates the mean CPU of the listed instances of each pool.
+// measureInstances updates the mean capacity of the listed instances of each pool.
 func (u *Unit) measureInstances() {
-	sums, counts := map[string]int{}, map[string]int{}
+	sums, counts := map[string]job.Resources{}, map[string]int{}
 	for _, sess := range u.sessions {
 		if sess.listed {
-			sums[sess.reg.Pool] += sess.reg.Capacity.CPU
+			sums[sess.reg.Pool] = sums[sess.reg.Pool].Add(sess.reg.Capacity)
 			counts[sess.reg.Pool]++
 		}
 	}
 	for pool, count := range counts {
-		sums[pool] /= count
+		sum := sums[pool]
+		sums[pool] = job.Resources{CPU: sum.CPU / count, Memory: sum.Memory / count, GPU: sum.GPU / count}
 	}
-	u.meanInstanceCPU = sums
+	u.meanInstance = sums
 }
 
 func (s *session) describe(now time.Time, outOfService bool) rebalance.Instance {
--- a/internal/owner/demand_test.go
+++ b/internal/owner/demand_test.go
@@ -15,12 +15,21 @@
 // demandOf returns the demand of a unit with full instances of 16 cores of which
 // each has some CPU left, and one step of eight waiting tasks.
 func demandOf(free, need int, allowance *job.Resources) rebalance.Demand {
+	return demandOfResources(job.Resources{CPU: free}, job.Resources{CPU: need}, allowance)
+}
+
+// demandOfResources is demandOf with instances of 32 GB too, if need has memory.
+func demandOfResources(free, need job.Resources, allowance *job.Resources) rebalance.Demand {
 	u := peakUnit(4, 0, 0)
 	for _, sess := range u.sessions {
-		sess.usage.allocated.CPU = sess.reg.Capacity.CPU - free
+		sess.usage.allocated.CPU = sess.reg.Capacity.CPU - free.CPU
+		if need.Memory > 0 {
+			sess.reg.Capacity.Memory = 32_000
+			sess.usage.allocated.Memory = 32_000 - free.Memory
+		}
 	}
 	u.measureInstances()
-	step := job.Step{Count: 8, Need: job.Resources{CPU: need}, Estimate: time.Second}
+	step := job.Step{Count: 8, Need: need, Estimate: time.Second}
 	e := newEntry(&job.Submission{ID: "w", Queue: testQueue, Pool: testPool, Steps: []job.Step{step}})
 	u.addEntry(e)
 	c := &schedule.Candidate{Job: "w", Step: &e.job.Submission.Steps[0], Class: schedule.InTime, Allowance: allowance}
@@ -43,6 +52,40 @@
 	is.Equal(demandOf(5000, 4500, nil).FreeCPU, 4*4500)
 }
 
+// A machine is full when its memory is. Counted by cores alone, tasks that take much
+// memory brought too few machines at a peak, and a pool whose memory was taken by
+// long-running tasks seemed to have half of its machines free.
+func TestDemandCountsTheResourceThatRunsOutFirst(t *testing.T) {
+	is := is.New(t)
+	d := demandOfResources(job.Resources{CPU: 14_000, Memory: 2000}, job.Resources{CPU: 1000, Memory: 12_000}, nil)
+	is.Equal(d.WaitingCPU, 8*16_000/2) // two such tasks fill a machine
+	is.Equal(d.FreeCPU, 0)
+	is.Equal(fmt.Sprintf("%.1f", d.WaitingWork), "64.0")
+	d = demandOfResources(job.Resources{CPU: 14_000, Memory: 16_000}, job.Resources{CPU: 1000, Memory: 2000}, nil)
+	is.Equal(d.WaitingCPU, 8*16_000/16)
+	is.Equal(d.FreeCPU, 4*8000)
+}
+
+// The forecast and the long-running tasks must count the same way.
+func TestForecastAndLongRunningTasksCountMemory(t *testing.T) {
+	is := is.New(t)
+	u := peakUnit(1, 0, 0)
+	sess := u.sessions["i-0"]
+	sess.reg.Capacity.Memory = 32_000
+	u.measureInstances()
+	clear(sess.runs)
+	sess.usage = usage{}
+	sess.usage.count(&run{need: job.Resources{CPU: 1000, Memory: 24_000}, step: &job.Step{Lasting: true}}, 1)
+	u.loaded = true
+	step := job.Step{Count: 3, Need: job.Resources{CPU: 100, Memory: 16_000}, Estimate: time.Second}
+	now := time.Now()
+	for range 10 {
+		u.observeArrival(newEntry(&job.Submission{ID: "w", Queue: testQueue, Pool: testPool, Steps: []job.Step{step}}), now)
+	}
+	is.Equal(u.demand(testPool, now).LastingCPU, 12_000)
+	is.Equal(int(u.arrivals[testPool].cores(now.Add(time.Second), 0)), 240) // 30 halves of 16 cores
+}
+
 // No machine helps tasks that wait for their team's limit.
 func TestDemandLeavesOutTasksBeyondTheTeamsLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/learn.go
+++ b/internal/owner/learn.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/beryltide/beryltide/internal/forecast"
 	"github.com/beryltide/beryltide/internal/job"
 )
 
@@ -77,14 +76,17 @@
 	}
 	pool := e.job.Submission.Pool
 	if u.arrivals[pool] == nil {
-		u.arrivals[pool] = &forecast.Arrivals{}
+		u.arrivals[pool] = &arrivals{}
 	}
 	criticalPath, _ := u.remaining(e, nil)
-	size := u.meanInstanceCPU[pool]
-	var work float64
+	size := u.meanInstance[pool]
+	var work [resourceCount]float64
 	for i := range e.job.Submission.Steps {
 		step := &e.job.Submission.Steps[i]
-		work += u.estimate(e.job.Submission, step).Seconds() * float64(occupiedCPU(step.Need.CPU, size)*step.Count) / 1000
+		coreSeconds := u.estimate(e.job.Submission, step).Seconds() * float64(step.Count) / 1000
+		for n, occupied := range occupancyOf(step.Need, size) {
+			work[n] += coreSeconds * float64(occupied)
+		}
 	}
-	u.arrivals[pool].Add(now, work, criticalPath)
+	u.arrivals[pool].add(now, work, criticalPath)
 }
--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -93,9 +93,9 @@
 		}
 		pools[pool] = g
 	}
-	for pool, arrivals := range u.arrivals {
+	for pool, history := range u.arrivals {
 		g := pools[pool]
-		g.expectedCores = arrivals.Cores(now, u.Bounds.Move)
+		g.expectedCores = history.cores(now, u.Bounds.Move)
 		pools[pool] = g
 	}
 	for pool, g := range pools {
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -243,7 +243,7 @@
 		n := &schedule.Node{
 			ID: sess.reg.ID, Rack: sess.reg.Rack, DataCentre: sess.reg.DataCentre, Labels: sess.reg.Labels,
 			Capacity: sess.reg.Capacity, Free: sess.reg.Capacity.Sub(sess.usage.allocated), Suspect: sess.suspect(now),
-			Reservation: sess.reservation, BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunningCPU: sess.usage.longRunningCPU,
+			Reservation: sess.reservation, BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunning: sess.usage.longRunningAllocation,
 		}
 		nodes = append(nodes, n)
 	}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -9,9 +9,8 @@
 	allocated job.Resources
 	// longRunning and backfill count the runs of such tasks.
 	longRunning, backfill int
-	// longRunningCPU is the allocation of the long-running tasks, in thousandths of
-	// a core.
-	longRunningCPU int
+	// longRunningAllocation is what the long-running tasks take.
+	longRunningAllocation job.Resources
 }
 
 // addRun records a run at the instance.
@@ -35,16 +34,12 @@
 }
 
 func (v *usage) count(r *run, by int) {
-	if by > 0 {
-		v.allocated = v.allocated.Add(r.need)
-	} else {
-		v.allocated = v.allocated.Sub(r.need)
-	}
+	v.allocated = v.allocated.Add(r.need.Times(by))
 	switch {
 	case r.step.Fills:
 		v.backfill += by
 	case r.step.Lasting:
 		v.longRunning += by
-		v.longRunningCPU += by * r.need.CPU
+		v.longRunningAllocation = v.longRunningAllocation.Add(r.need.Times(by))
 	}
 }
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -15,7 +15,6 @@
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/fleetview"
-	"github.com/beryltide/beryltide/internal/forecast"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/ownership"
@@ -151,12 +150,11 @@
 	allowances allowances
 	// remainingAllowance is what teams may still start in the round being planned.
 	remainingAllowance map[teamPool]*job.Resources
-	// meanInstanceCPU is the mean capacity of each pool's listed instances, in
-	// thousandths of a core.
-	meanInstanceCPU map[string]int
-	durations       durations
-	arrivals        map[string]*forecast.Arrivals
-	workByQueue     map[string]*queueWork
+	// meanInstance is the mean capacity of each pool's listed instances.
+	meanInstance map[string]job.Resources
+	durations    durations
+	arrivals     map[string]*arrivals
+	workByQueue  map[string]*queueWork
 }
 
 // entry is a job with the unit's own data about it.
@@ -185,7 +183,7 @@
 		Deps: deps, tenure: tenure,
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
 		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
-		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*forecast.Arrivals{}, workByQueue: map[string]*queueWork{},
+		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*arrivals{}, workByQueue: map[string]*queueWork{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
 	u.commit.init()
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -42,8 +42,9 @@
 	IdleFor time.Duration
 }
 
-// Demand is an owner's report on a pool, with CPU in thousandths of a core. It is
-// sent over net/rpc.
+// Demand is an owner's report on a pool. CPU is in thousandths of a core of machines,
+// and stands for the resource that runs out first: half of a machine's memory counts
+// as half of its cores. It is sent over net/rpc.
 type Demand struct {
 	// WaitingCPU is what the tasks that are ready to start occupy on machines, except
 	// backfill tasks, those of jobs without value left, and those that their team's
--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -53,7 +53,7 @@
 	if n.LongRunningTasks == 0 {
 		cost += costNewNode
 	}
-	if float64(n.LongRunningCPU+c.Step.Need.CPU) > longRunningShare*float64(n.Capacity.CPU) {
+	if float64(n.LongRunning.CPU+c.Step.Need.CPU) > longRunningShare*float64(n.Capacity.CPU) {
 		cost += costCrowded
 	}
 	return cost
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -85,9 +85,8 @@
 	LongRunningTasks int
 	// BackfillTasks is the number of backfill tasks.
 	BackfillTasks int
-	// LongRunningCPU is the CPU allocation of the long-running tasks, in thousandths
-	// of a core.
-	LongRunningCPU int
+	// LongRunning is the allocation of the long-running tasks.
+	LongRunning job.Resources
 	// Reservation names the step that the node's free capacity is kept for, until
 	// one of its tasks fits; empty if none. Plan updates it.
 	Reservation StepKey
@@ -270,7 +269,7 @@
 	switch {
 	case c.Step.Lasting && !c.Step.Fills:
 		n.LongRunningTasks += by
-		n.LongRunningCPU += by * c.Step.Need.CPU
+		n.LongRunning = n.LongRunning.Add(c.Step.Need.Times(by))
 	case c.Step.Fills:
 		n.BackfillTasks += by
 	}
