Write to a slow store through the unit's owner

Cause: a partition of the store takes one append at a time, and refuses what would wait for over 2 s. While the store answers 50 times slower, an append takes 0.2 s; each of 147 daemons had one in flight for each unit.

Change: a daemon that finds the store slow, by any of its calls or by an append to the unit, sends callers' records to the unit's owner, which appends those of all daemons together, one append at a time (internal/intake/batch.go). Appends may take 2.5 s then: a repeat would make the queue longer.

Tests: TestSlowStoreIsWrittenThroughTheOwner, TestSlowStoreIsNoticed.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -151,7 +151,8 @@
 	go d.member.Run(memberCtx, d.units.set)
 	serveErrors := make(chan error, 4)
 	go func() {
-		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, d.units, d.log, d.member.JoinSoon, d.logger)
+		services := ownerrpc.Services{Units: d.units, Log: d.log, Appender: d.service, MembersChanged: d.member.JoinSoon}
+		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, services, d.logger)
 	}()
 	callers := d.server(d.ports.Callers(d.service, d.view))
 	go func() { serveErrors <- serve(callers, d.ports.CallersListener) }()
--- a/internal/fleetd/outage_test.go
+++ b/internal/fleetd/outage_test.go
@@ -95,6 +95,7 @@
 	if !served {
 		log = unreachableLog(t, client, clock)
 	}
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, store.Direct(log), func() {}, zap.NewNop()) }()
+	services := ownerrpc.Services{Units: noUnits{}, Log: store.Direct(log), MembersChanged: func() {}}
+	go func() { _ = ownerrpc.Serve(listener, services, zap.NewNop()) }()
 	return log
 }
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,26 +19,18 @@
 	// with other appends queued), and leaves a caller enough time for an attempt
 	// through the owner.
 	appendTimeout = 800 * time.Millisecond
+	// slowAppendTimeout is the same while the store is slow: for as long may the append
+	// wait behind others (2 s at most), and be carried out.
+	slowAppendTimeout = 2500 * time.Millisecond
+	// ownerTimeout bounds an append through the unit's owner while the store isn't slow.
+	ownerTimeout = 400 * time.Millisecond
+	// ownerMargin is the time for finding the owner and for its answer.
+	ownerMargin = 400 * time.Millisecond
 	// ownerFirstPeriod is how long appends go through the units' owners first
 	// after a direct append has failed.
 	ownerFirstPeriod = time.Second
 )
 
-// batch holds the records to be stored in one unit's partition while an append is
-// in flight.
-type batch struct {
-	mu        sync.Mutex
-	appending bool
-	pending   []pendingRecord
-}
-
-// pendingRecord is a record whose caller waits for the result on done, which has
-// a buffer of one.
-type pendingRecord struct {
-	record store.Record
-	done   chan error
-}
-
 // appendWithRetry stores a record, with retries until the context ends. It
 // returns ErrNotRun only if no attempt may have taken effect, and ErrMayRun
 // otherwise.
@@ -53,7 +44,7 @@
 			}
 			return errors.Wrap(ErrNotRun, "no unit is assigned to the pool yet")
 		}
-		err := s.appendInBatch(ctx, unit, r)
+		err := s.routed.append(ctx, unit, []store.Record{r}, s.appendOnce)
 		if err == nil {
 			return nil
 		}
@@ -76,67 +67,20 @@
 	return !errors.Is(err, store.ErrNotDone) && !errors.Is(err, store.ErrFull)
 }
 
-// appendInBatch stores a record in the next append to its unit. A partition takes
-// one append at a time: with one append per record, a slow store would let them
-// queue up there.
-func (s *Service) appendInBatch(ctx context.Context, unit int, r store.Record) error {
-	w := pendingRecord{record: r, done: make(chan error, 1)}
-	b := s.batch(unit)
-	b.mu.Lock()
-	b.pending = append(b.pending, w)
-	if !b.appending {
-		b.appending = true
-		go s.flush(unit, b)
-	}
-	b.mu.Unlock()
-	select {
-	case err := <-w.done:
-		return err
-	case <-ctx.Done():
-		return errors.Wrap(store.ErrUnknown, ctx.Err().Error())
-	}
-}
-
-func (s *Service) batch(unit int) *batch {
-	b, _ := s.batches.LoadOrStore(unit, &batch{})
-	return b.(*batch)
-}
-
-// flush appends the pending records, batch by batch, until there are none.
-func (s *Service) flush(unit int, b *batch) {
-	for {
-		b.mu.Lock()
-		pending := b.pending
-		b.pending = nil
-		b.appending = len(pending) > 0
-		b.mu.Unlock()
-		if len(pending) == 0 {
-			return
-		}
-		var records []store.Record
-		for _, w := range pending {
-			records = append(records, w.record)
-		}
-		err := s.appendOnce(unit, records)
-		for _, w := range pending {
-			w.done <- err
-		}
-	}
-}
-
 // appendOnce tries to append directly, then through the unit's owner, as the
-// store may serve other daemons while it doesn't serve this one. After a direct
-// append has failed, the owner goes first for ownerFirstPeriod. A store that is
-// known to be unavailable isn't tried: after an attempt without an answer
-// the outcome would be uncertain, whereas a refusal is certain.
+// store may serve other daemons while it doesn't serve this one. The owner goes first
+// while the store is slow, and for ownerFirstPeriod after a direct append has failed.
+// A store that is known to be unavailable isn't tried: after an attempt without an
+// answer the outcome would be uncertain, whereas a refusal is certain.
 func (s *Service) appendOnce(unit int, records []store.Record) error {
+	slow := s.slow(unit)
 	routes := []func(int, []store.Record) error{s.appendDirect, s.appendViaOwner}
 	switch {
 	case s.Log.Away() > 0:
 		routes = routes[1:]
 	case s.unitOutage(unit) > 0:
 		return errors.Wrap(store.ErrNotDone, "the store doesn't serve the unit's partition")
-	case time.Now().UnixMilli() < s.ownerFirstUntil.Load():
+	case slow || time.Now().UnixMilli() < s.ownerFirstUntil.Load():
 		routes[0], routes[1] = routes[1], routes[0]
 	}
 	var failure error
@@ -148,16 +92,37 @@
 		if failure == nil || mayHaveTakenEffect(err) {
 			failure = err
 		}
+		if slow && errors.Is(err, errOwnerCouldNot) {
+			// The partition has too many appends waiting.
+			return failure
+		}
 	}
 	return failure
 }
 
-// appendDirect appends records from this daemon.
+// slow reports whether the store, or the unit's partition, has recently taken long. An
+// append from each daemon would then wait behind those of all others, and the owner's
+// behind all of them; with the owner as the only writer there are two.
+func (s *Service) slow(unit int) bool { return s.Log.Slow() || s.health(unit).Slow() }
+
+// AppendForPeer implements ownerrpc.Appender.
+func (s *Service) AppendForPeer(ctx context.Context, unit int, records []store.Record) error {
+	return s.direct.append(ctx, unit, records, s.appendNow)
+}
+
+// appendDirect appends records from this daemon, together with those of peers.
 func (s *Service) appendDirect(unit int, records []store.Record) error {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	return s.direct.append(context.Background(), unit, records, s.appendNow)
+}
+
+// appendNow appends records from this daemon.
+func (s *Service) appendNow(unit int, records []store.Record) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.appendTimeout(unit))
 	defer cancel()
+	begin := time.Now()
 	err := s.Log.Append(ctx, ownership.Topic, unit, records, nil)
 	s.observe(unit, err)
+	s.health(unit).ObserveLatency(time.Since(begin))
 	if err != nil {
 		s.Logger.Info("intake.store_failed", zap.Int("unit", unit), zap.Int("records", len(records)), zap.Error(err))
 		s.ownerFirstUntil.Store(time.Now().Add(ownerFirstPeriod).UnixMilli())
@@ -165,28 +130,44 @@
 	return err
 }
 
+func (s *Service) appendTimeout(unit int) time.Duration {
+	if s.slow(unit) {
+		return slowAppendTimeout
+	}
+	return appendTimeout
+}
+
+// errOwnerCouldNot reports that the unit's owner couldn't store records.
+var errOwnerCouldNot = errors.Wrap(store.ErrNotDone, "the unit's owner couldn't store the records")
+
 // appendViaOwner has the unit's owner append records, if it is another daemon.
 func (s *Service) appendViaOwner(unit int, records []store.Record) error {
 	if s.Units.Unit(unit) != nil {
 		return errors.Wrap(store.ErrNotDone, "this daemon owns the unit")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	timeout := ownerTimeout
+	if s.slow(unit) {
+		timeout = slowAppendTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+ownerMargin)
 	defer cancel()
 	address := s.Member.Locate(ctx, unit, false)
 	if address == "" {
 		return errors.Wrap(store.ErrNotDone, "the unit's owner isn't known")
 	}
-	reply, err := s.Peers.Store(ctx, address, ownerrpc.StoreRequest{Unit: unit, Records: records})
+	begin := time.Now()
+	reply, err := s.Peers.Store(ctx, address, ownerrpc.StoreRequest{Unit: unit, Records: records, Timeout: timeout})
+	s.health(unit).ObserveLatency(time.Since(begin))
 	if err == nil && reply.Code == ownerrpc.OK {
 		s.observe(unit, nil)
 		return nil
 	}
 	s.observe(unit, store.ErrUnknown)
-	if errors.Is(err, ownerrpc.ErrUnsent) {
+	switch {
+	case errors.Is(err, ownerrpc.ErrUnsent):
 		return errors.Wrap(store.ErrNotDone, err.Error())
-	}
-	if err != nil {
+	case err != nil:
 		return errors.Wrap(store.ErrUnknown, err.Error())
 	}
-	return errors.Wrap(store.ErrNotDone, "the unit's owner couldn't store the records")
+	return errOwnerCouldNot
 }
--- /dev/null
+++ b/internal/intake/batch.go
@@ -0,0 +1,77 @@
+package intake
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/beryltide/beryltide/internal/store"
+)
+
+// batcher stores records by unit, one append at a time: those that arrive while an
+// append is in flight are stored together in the next one. A partition takes one
+// append at a time; with one for each record, a slow store would let them queue up
+// there. The zero value is ready to use.
+type batcher struct {
+	// batches holds a *batch for each unit.
+	batches sync.Map
+}
+
+// batch holds the records to be stored in one unit's partition while an append is
+// in flight.
+type batch struct {
+	mu        sync.Mutex
+	appending bool
+	pending   []pendingRecords
+}
+
+// pendingRecords are records whose sender waits for the result on done, which has a
+// buffer of one.
+type pendingRecords struct {
+	records []store.Record
+	done    chan error
+}
+
+// append stores records with the next call of a function for their unit, and returns
+// its result. If the context ends first, it is unknown whether they are stored.
+func (b *batcher) append(ctx context.Context, unit int, records []store.Record, send func(int, []store.Record) error) error {
+	p := pendingRecords{records: records, done: make(chan error, 1)}
+	entry, _ := b.batches.LoadOrStore(unit, &batch{})
+	of := entry.(*batch)
+	of.mu.Lock()
+	of.pending = append(of.pending, p)
+	if !of.appending {
+		of.appending = true
+		go of.flush(unit, send)
+	}
+	of.mu.Unlock()
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(store.ErrUnknown, ctx.Err().Error())
+	}
+}
+
+// flush sends the pending records, batch by batch, until there are none.
+func (b *batch) flush(unit int, send func(int, []store.Record) error) {
+	for {
+		b.mu.Lock()
+		pending := b.pending
+		b.pending = nil
+		b.appending = len(pending) > 0
+		b.mu.Unlock()
+		if len(pending) == 0 {
+			return
+		}
+		var records []store.Record
+		for _, p := range pending {
+			records = append(records, p.records...)
+		}
+		err := send(unit, records)
+		for _, p := range pending {
+			p.done <- err
+		}
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -62,8 +62,9 @@
 	ownerFirstUntil atomic.Int64
 	// unitHealths holds a *unitHealth for each unit.
 	unitHealths sync.Map
-	// batches holds a *batch for each unit.
-	batches sync.Map
+	// routed takes this daemon's records, direct those that it appends itself, its own
+	// and those of peers.
+	routed, direct batcher
 }
 
 // Bounds of RetryAfter, without its random part.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,11 @@
 
 func (noUnits) Unit(int) *owner.Unit { return nil }
 
+// allUnits owns all units.
+type allUnits struct{}
+
+func (allUnits) Unit(int) *owner.Unit { return &owner.Unit{} }
+
 // startOwner starts a peer that owns all units and stores through the client.
 func startOwner(t *testing.T, s *memstore.Store, client *memstore.Client) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -32,7 +38,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = ownerrpc.Serve(listener, noUnits{}, watch(client), func() {}, zap.NewNop()) }()
+	service := newService(client)
+	service.Units = allUnits{}
+	services := ownerrpc.Services{Units: noUnits{}, Log: service.Log, Appender: service, MembersChanged: func() {}}
+	go func() { _ = ownerrpc.Serve(listener, services, zap.NewNop()) }()
 	_, err = s.Client().Join(context.Background(), store.Join{
 		Group: "owners", Member: listener.Addr().String() + "#1#1", Topics: []string{ownership.Topic}, TTL: time.Hour,
 	})
@@ -144,6 +153,47 @@
 	is.True(lookups > 1) // the pool had lost its unit
 }
 
+// While the store is slow, a unit's partition must have few writers: it takes one
+// append at a time. With one from each of 147 daemons the owner's starts waited behind
+// all of them, and the store refused what had to wait for over 2 s.
+func TestSlowStoreIsWrittenThroughTheOwner(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New(4)
+	s.Latency = 120 * time.Millisecond // from 100 ms on a call is slow
+	ownersAppends, directAppends := atomic.Int32{}, atomic.Int32{}
+	count := func(n *atomic.Int32) func(string) memstore.Fault {
+		return func(call string) memstore.Fault {
+			if call == "append" {
+				n.Add(1)
+			}
+			return memstore.None
+		}
+	}
+	peer := s.Client()
+	peer.SetFault(count(&ownersAppends))
+	startOwner(t, s, peer)
+	done := make(chan error, 30)
+	for range cap(done) {
+		client := s.Client()
+		client.SetFault(count(&directAppends))
+		service := newService(client)
+		go func() {
+			// Any call shows that the store is slow.
+			if _, err := service.Log.Owners(t.Context(), ownership.Group); err != nil {
+				done <- err
+				return
+			}
+			done <- service.Submit(t.Context(), submission())
+		}()
+	}
+	for range cap(done) {
+		is.NoErr(<-done)
+	}
+	is.Equal(directAppends.Load(), int32(0))
+	is.True(ownersAppends.Load() <= 5) // not one for each daemon
+	is.True(stored(t, s))
+}
+
 // Records that arrive while an append is in flight are stored together in the
 // next append.
 func TestRecordsAreStoredInBatches(t *testing.T) {
--- a/internal/ownerrpc/client.go
+++ b/internal/ownerrpc/client.go
@@ -65,7 +65,7 @@
 // Store calls Server.Store of a peer.
 func (c *Client) Store(ctx context.Context, address string, req StoreRequest) (StoreReply, error) {
 	var reply StoreReply
-	err := c.Call(ctx, address, serviceName+".Store", req, &reply)
+	err := c.callWithin(ctx, req.Timeout+storeMargin, address, serviceName+".Store", req, &reply)
 	return reply, err
 }
 
--- a/internal/ownerrpc/client_test.go
+++ b/internal/ownerrpc/client_test.go
@@ -13,9 +13,17 @@
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/owner"
+	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/store"
 )
 
+// appender appends the records of each peer alone.
+type appender struct{ log store.Log }
+
+func (a appender) AppendForPeer(ctx context.Context, unit int, records []store.Record) error {
+	return a.log.Append(ctx, ownership.Topic, unit, records, nil)
+}
+
 type noUnits struct{}
 
 func (noUnits) Unit(int) *owner.Unit { return nil }
@@ -35,7 +43,8 @@
 		return memstore.LoseAnswer
 	})
 	log := store.Direct(store.Watch(client, bootclock.System))
-	go func() { _ = Serve(listener, noUnits{}, log, func() {}, zap.NewNop()) }()
+	services := Services{Units: noUnits{}, Log: log, Appender: appender{log}, MembersChanged: func() {}}
+	go func() { _ = Serve(listener, services, zap.NewNop()) }()
 	c := NewClient()
 	address := listener.Addr().String()
 	ctx := context.Background()
@@ -45,12 +54,12 @@
 
 	gone, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
 	defer cancel()
-	_, err = c.Store(gone, address, StoreRequest{})
+	_, err = c.Store(gone, address, StoreRequest{Timeout: time.Second})
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	is.Equal(c.conns[address], shared) // a caller that gave up
 
 	close(slow)
-	_, err = c.Store(ctx, address, StoreRequest{})
+	_, err = c.Store(ctx, address, StoreRequest{Timeout: time.Second})
 	is.True(err != nil)
 	is.Equal(c.conns[address], shared) // an error of the method
 }
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -16,7 +16,6 @@
 
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/owner"
-	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/quota"
 	"github.com/beryltide/beryltide/internal/rebalance"
 	"github.com/beryltide/beryltide/internal/store"
@@ -28,9 +27,9 @@
 	// callTimeout is far above the time of a call between data centres (2 ms), and
 	// leaves time for a call to a second owner.
 	callTimeout = 500 * time.Millisecond
-	// storeTimeout bounds an append for a peer. It is shorter than callTimeout, so
-	// that the peer gets an answer.
-	storeTimeout = 400 * time.Millisecond
+	// storeMargin is the time that a peer waits for Store beyond the append's timeout,
+	// so that it gets an answer.
+	storeMargin = 100 * time.Millisecond
 )
 
 // Code is the outcome of a call.
@@ -109,10 +108,13 @@
 	Unit(number int) *owner.Unit
 }
 
-// StoreRequest carries records of a daemon that can't reach the store.
+// StoreRequest carries records of a daemon that can't reach the store, or finds it
+// slow.
 type StoreRequest struct {
 	Unit    int
 	Records []store.Record
+	// Timeout bounds the append.
+	Timeout time.Duration
 }
 
 // StoreReply is the outcome of an append: with NotReady nothing was stored.
@@ -126,12 +128,21 @@
 	units Units
 	// log is this daemon's own way to the store, relayed the one that may lead through
 	// a peer.
-	log     *store.Watched
-	relayed *store.Relayed
+	log      *store.Watched
+	relayed  *store.Relayed
+	appender Appender
 	// membersChanged is called when a peer reports that it has left the owners.
 	membersChanged func()
 }
 
+// Appender appends callers' records to a unit's partition, those of several peers
+// together.
+type Appender interface {
+	// AppendForPeer returns an error that wraps store.ErrNotDone or store.ErrFull if
+	// nothing was stored, and another one if the records may have been.
+	AppendForPeer(ctx context.Context, unit int, records []store.Record) error
+}
+
 // Store appends callers' records to a unit's partition. Duplicates are harmless:
 // the unit's owner merges them. An error means that the append may have taken
 // effect.
@@ -140,9 +151,9 @@
 		reply.Code = NotReady
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout)
 	defer cancel()
-	err := s.relayed.Append(ctx, ownership.Topic, req.Unit, req.Records, nil)
+	err := s.appender.AppendForPeer(ctx, req.Unit, req.Records)
 	switch {
 	case err == nil:
 		reply.Code = OK
@@ -268,11 +279,20 @@
 	return NotReady
 }
 
-// Serve serves calls on a listener until it is closed. It calls membersChanged when
-// a peer has left the owners.
-func Serve(l net.Listener, units Units, log *store.Relayed, membersChanged func(), logger *zap.Logger) error {
+// Services are what Serve makes available to other daemons.
+type Services struct {
+	Units    Units
+	Log      *store.Relayed
+	Appender Appender
+	// MembersChanged is called when a peer has left the owners.
+	MembersChanged func()
+}
+
+// Serve serves calls on a listener until it is closed.
+func Serve(l net.Listener, s Services, logger *zap.Logger) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Server{units: units, log: log.Watched, relayed: log, membersChanged: membersChanged}); err != nil {
+	receiver := &Server{units: s.Units, log: s.Log.Watched, relayed: s.Log, appender: s.Appender, membersChanged: s.MembersChanged}
+	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return errors.Wrap(err, "register")
 	}
 	for {
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -18,6 +18,12 @@
 	outageSpan = 300 * time.Millisecond
 	// failureTTL is how long the last failure counts if there are no further calls.
 	failureTTL = 2 * time.Second
+	// slowLatency is the latency from which a call counts as slow: well over that of a
+	// busy store, and half of that of a slow one (50 times 4 ms).
+	slowLatency = 100 * time.Millisecond
+	// slowMemory is how long the store counts as slow after a slow call; daemons with
+	// little to do call it that often.
+	slowMemory = 1500 * time.Millisecond
 )
 
 // Health detects outages of the store, as this daemon sees them, from the results
@@ -38,6 +44,8 @@
 	firstFailureAt time.Duration
 	// lastFailureAt is when the last of them ended.
 	lastFailureAt time.Duration
+	// slowUntil is when the store no longer counts as slow.
+	slowUntil time.Duration
 	// recovered is closed, and replaced, when a call is served after an outage.
 	recovered chan struct{}
 }
@@ -85,6 +93,23 @@
 	return h.failures >= h.threshold && h.clock()-h.lastFailureAt < failureTTL
 }
 
+// ObserveLatency records how long the store took for a call, answered or not.
+func (h *Health) ObserveLatency(took time.Duration) {
+	if took < slowLatency {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.slowUntil = h.clock() + slowMemory
+}
+
+// Slow reports whether the store has recently taken much longer than usual for a call.
+func (h *Health) Slow() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock() < h.slowUntil
+}
+
 // untilRecovery returns a context that is cancelled when the store serves a call
 // again after an outage: calls sent during the outage may never be answered.
 func (h *Health) untilRecovery(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/store/probe_test.go
+++ b/internal/store/probe_test.go
@@ -70,3 +70,24 @@
 		synctest.Wait()
 	})
 }
+
+// A store that answers every call, but slowly, must be noticed by a daemon that makes
+// few calls, and must not count as slow for a read that waits for records.
+func TestSlowStoreIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(1)
+		begin := time.Now()
+		log := store.Watch(s.Client(), func() time.Duration { return time.Since(begin) })
+		_, err := log.Read(t.Context(), "t", 0, 0, time.Second)
+		is.NoErr(err)
+		is.True(!log.Slow())
+		s.Latency = 150 * time.Millisecond
+		_, err = log.Owners(t.Context(), "g")
+		is.NoErr(err)
+		is.True(log.Slow())
+		s.Latency = 0
+		time.Sleep(1500 * time.Millisecond) // slowMemory
+		is.True(!log.Slow())
+	})
+}
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// Watched is a log that detects outages from the results of its calls.
+// Watched is a log that detects outages and slowness from its calls.
 type Watched struct {
 	log    Log
 	health *Health
@@ -24,6 +24,10 @@
 // is available.
 func (w *Watched) Away() time.Duration { return w.health.Away() }
 
+// Slow reports whether the store has recently taken much longer than usual for a call
+// of this daemon.
+func (w *Watched) Slow() bool { return w.health.Slow() }
+
 // Limits of the probes during an outage.
 const (
 	// probeInterval bounds the delay until a recovery is detected.
@@ -60,12 +64,14 @@
 // Clock returns the clock on which outages are measured.
 func (w *Watched) Clock() func() time.Duration { return w.health.clock }
 
-// observe records a call's result, except for failures of calls that this daemon
-// cancelled itself: they don't show whether the store is available.
-func (w *Watched) observe(ctx context.Context, err error) {
+// observe records the result of a call and how long the store took for it, except for
+// failures of calls that this daemon cancelled itself: they don't show whether the
+// store is available.
+func (w *Watched) observe(ctx context.Context, begin time.Duration, err error) {
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	w.health.ObserveLatency(w.health.clock() - begin)
 	w.health.Observe(Served(err))
 }
 
@@ -84,15 +90,17 @@
 
 // Append implements Log.
 func (w *Watched) Append(ctx context.Context, topic string, partition int, records []Record, seq *Sequence) error {
+	begin := w.health.clock()
 	err := w.log.Append(ctx, topic, partition, records, seq)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return err
 }
 
 // AppendAt implements Log.
 func (w *Watched) AppendAt(ctx context.Context, topic string, partition int, records []Record, end int64) error {
+	begin := w.health.clock()
 	err := w.log.AppendAt(ctx, topic, partition, records, end)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return err
 }
 
@@ -101,35 +109,44 @@
 func (w *Watched) Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (Batch, error) {
 	ctx, cancel := w.health.untilRecovery(ctx)
 	defer cancel()
+	begin := w.health.clock()
 	batch, err := w.log.Read(ctx, topic, partition, from, wait)
-	w.observe(ctx, err)
+	if len(batch.Records) > 0 {
+		// It isn't known for how long the store waited for records.
+		begin = w.health.clock()
+	}
+	w.observe(ctx, begin+wait, err)
 	return batch, err
 }
 
 // Newest implements Log.
 func (w *Watched) Newest(ctx context.Context, topic string, partition int, after string) (Page, error) {
+	begin := w.health.clock()
 	page, err := w.log.Newest(ctx, topic, partition, after)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return page, err
 }
 
 // Join implements Log.
 func (w *Watched) Join(ctx context.Context, join Join) (Membership, error) {
+	begin := w.health.clock()
 	m, err := w.log.Join(ctx, join)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return m, err
 }
 
 // Leave implements Log.
 func (w *Watched) Leave(ctx context.Context, group, member string) error {
+	begin := w.health.clock()
 	err := w.log.Leave(ctx, group, member)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return err
 }
 
 // Owners implements Log.
 func (w *Watched) Owners(ctx context.Context, group string) ([]Owner, error) {
+	begin := w.health.clock()
 	owners, err := w.log.Owners(ctx, group)
-	w.observe(ctx, err)
+	w.observe(ctx, begin, err)
 	return owners, err
 }
