Keep long-running tasks off machines that a wave still takes down

Cause: a long-running task that had to leave a machine of a wave was put on the fullest machine, often one that the wave was to take down next.

Change: the leader names the instances that waves will still take down, with the grants that it sends to owners; placing long-running tasks there costs more than anything but putting a second task of the step on one instance.

Tests: TestLongRunningTasksAvoidNodesDueForMaintenance, TestOwnersLearnWhatIsDueForMaintenance.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -245,9 +245,10 @@
 	}
 	slices.Sort(pools)
 	orders := make([]owner.GrantOrder, len(pools))
+	due := c.maintenanceDue()
 	for n, name := range pools {
 		c.lastGrant++
-		orders[n] = owner.GrantOrder{Pool: name, Lead: c.Tenure.Epoch, Number: c.lastGrant, Grants: c.ledger.Grants(name, limits, pools)}
+		orders[n] = owner.GrantOrder{Pool: name, Lead: c.Tenure.Epoch, Number: c.lastGrant, Grants: c.ledger.Grants(name, limits, pools), MaintenanceDue: due[name]}
 	}
 	reports, errs := c.queryOwners(ctx, orders)
 	c.demand = map[string]rebalance.Demand{}
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -118,7 +118,10 @@
 	mu           sync.Mutex
 	releaseCalls int
 	grantOrders  int
-	latency      time.Duration
+	// due holds the instances named as due for maintenance, at the first order with
+	// any and at the last order.
+	firstDue, due []string
+	latency       time.Duration
 }
 
 func (o *fakeOwners) Release(_ context.Context, _ string, instances []string) ([]string, error) {
@@ -129,10 +132,14 @@
 	return instances, nil
 }
 
-func (o *fakeOwners) Demand(context.Context, owner.GrantOrder) (Report, error) {
+func (o *fakeOwners) Demand(_ context.Context, order owner.GrantOrder) (Report, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.grantOrders++
+	o.due = order.MaintenanceDue
+	if len(o.firstDue) == 0 {
+		o.firstDue = order.MaintenanceDue
+	}
 	return Report{Demand: rebalance.Demand{WaitingCPU: 1, Instances: map[string]rebalance.Instance{}}}, nil
 }
 
@@ -234,6 +241,23 @@
 	})
 }
 
+// Owners must learn which instances a wave will still take down, and that none are left
+// once it has ended.
+func TestOwnersLearnWhatIsDueForMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, owners := newFakeMachines(6), &fakeOwners{}
+		ctx, cancel := context.WithCancel(context.Background())
+		startControllerWithOwners(ctx, memstore.New(1), f, owners, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
+		time.Sleep(30 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(len(f.begun), 6)
+		is.True(len(owners.firstDue) >= 6-atOnce) // the others may be down already
+		is.Equal(len(owners.due), 0)
+	})
+}
+
 // The orders of a wave of many idle machines are sent at the platform's rate
 // limit instead of waiting for each other's answers.
 func TestWaveOrdersAreSentConcurrently(t *testing.T) {
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -119,6 +119,22 @@
 	return m.Instance != p.orderedInstance[name] || elapsed > required
 }
 
+// maintenanceDue returns, by pool, the instances on machines that a wave is still to
+// take down.
+func (c *Controller) maintenanceDue() map[string][]string {
+	due := map[string][]string{}
+	for number, wave := range c.View.OperatorState().Waves {
+		p := c.waves[number]
+		for _, name := range wave.Machines {
+			m := c.listed[name]
+			if m.Instance != "" && (p == nil || p.stages[name] <= Draining) {
+				due[m.Pool] = append(due[m.Pool], m.Instance)
+			}
+		}
+	}
+	return due
+}
+
 // snapshot returns the input of Plan for a wave.
 func (c *Controller) snapshot(wave catalog.Wave, p *progress) Snapshot {
 	s := Snapshot{
--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -79,6 +79,9 @@
 	Lead   int64
 	Number int64
 	Grants map[string]job.Resources
+	// MaintenanceDue holds the IDs of the pool's instances on machines that a wave will
+	// take down.
+	MaintenanceDue []string
 }
 
 // Grant applies a leader's grants for a pool and returns what the pool's teams
@@ -109,6 +112,10 @@
 	}
 	a.leader = o.Lead
 	a.lastNumber[o.Pool] = o.Number
+	u.maintenanceDue[o.Pool] = map[string]bool{}
+	for _, id := range o.MaintenanceDue {
+		u.maintenanceDue[o.Pool][id] = true
+	}
 	for team, grant := range o.Grants {
 		s := teamPool{pool: o.Pool, team: team}
 		if a.grants[s] != grant {
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -244,6 +244,7 @@
 			ID: sess.reg.ID, Rack: sess.reg.Rack, DataCentre: sess.reg.DataCentre, Labels: sess.reg.Labels,
 			Capacity: sess.reg.Capacity, Free: sess.reg.Capacity.Sub(sess.usage.allocated), Suspect: sess.suspect(now),
 			Reservation: sess.reservation, BackfillTasks: sess.usage.backfill, LongRunningTasks: sess.usage.longRunning, LongRunning: sess.usage.longRunningAllocation,
+			MaintenanceDue: u.maintenanceDue[pool][sess.reg.ID],
 		}
 		nodes = append(nodes, n)
 	}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -150,6 +150,8 @@
 	allowances allowances
 	// remainingAllowance is what teams may still start in the round being planned.
 	remainingAllowance map[teamPool]*job.Resources
+	// maintenanceDue holds, by pool, the instances that the leader's last order named.
+	maintenanceDue map[string]map[string]bool
 	// meanInstance is the mean capacity of each pool's listed instances.
 	meanInstance map[string]job.Resources
 	durations    durations
@@ -184,6 +186,7 @@
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
 		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
 		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*arrivals{}, workByQueue: map[string]*queueWork{},
+		maintenanceDue: map[string]map[string]bool{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
 	u.commit.init()
--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -11,9 +11,12 @@
 	// instance takes few of them.
 	costSameStep = 2.0
 	// costCrowded applies above longRunningShare.
-	costCrowded  = 3.0
-	costNewNode  = 1.0
-	costSameRack = 0.1
+	costCrowded = 3.0
+	costNewNode = 1.0
+	// costMaintenanceDue outweighs all but the spread over two instances: each move of
+	// a long-running task uses up its step's disruption budget.
+	costMaintenanceDue = 5.0
+	costSameRack       = 0.1
 )
 
 // longRunningShare is the part of a node's CPU that long-running tasks take before
@@ -53,6 +56,9 @@
 	if n.LongRunningTasks == 0 {
 		cost += costNewNode
 	}
+	if n.MaintenanceDue {
+		cost += costMaintenanceDue
+	}
 	if float64(n.LongRunning.CPU+c.Step.Need.CPU) > longRunningShare*float64(n.Capacity.CPU) {
 		cost += costCrowded
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -81,6 +81,9 @@
 	Free job.Resources
 	// Suspect marks a node that has recently failed tasks; it is used last.
 	Suspect bool
+	// MaintenanceDue marks a node that maintenance will take down: long-running tasks
+	// would have to move once more.
+	MaintenanceDue bool
 	// LongRunningTasks is the number of long-running tasks.
 	LongRunningTasks int
 	// BackfillTasks is the number of backfill tasks.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -82,6 +82,20 @@
 	is.Equal(len(used), 2) // both jobs share two nodes
 }
 
+// Long-running tasks that leave a machine of a wave must not go to one that the wave
+// still takes down: each would move twice, and the disruption budget of a step allows
+// few moves at a time, so the wave ended late. Two instances are still better than one.
+func TestLongRunningTasksAvoidNodesDueForMaintenance(t *testing.T) {
+	is := is.New(t)
+	nodes := []*Node{node("a", 16000), node("b", 16000), node("c", 16000)}
+	nodes[0].MaintenanceDue, nodes[0].LongRunningTasks = true, 4
+	c := candidate("j", 1000, 0, 1)
+	c.Step.Lasting, c.Class = true, LongRunning
+	is.Equal(nodesOf(Plan(now, []*Candidate{c}, nodes), "j"), []string{"b", "c"})
+	short := candidate("k", 1000, 0)
+	is.Equal(len(nodesOf(Plan(now, []*Candidate{short}, nodes[:1]), "k")), 1) // others may use it
+}
+
 func TestGangStartsAllMembersOrNone(t *testing.T) {
 	is := is.New(t)
 	gang := candidate("g", 3000, 0, 1, 2)
