Switch idle machines off beside a peak, and pass them on directly

Cause: idle machines were switched off only while no pool lacked any.

Change: machines that would be switched off go to a pool that lacks some first, and what isn't needed is switched off in the same pass.

--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -100,23 +100,24 @@
 	Busy bool
 }
 
-// Plan returns the moves to order now; idle machines are switched off only if no
-// pool lacks one. Without a spare pool there are no moves.
+// Plan returns the moves to order now. Idle machines that no pool lacks are switched
+// off. Without a spare pool there are no moves.
 func Plan(s Snapshot) []Move {
 	if s.SparePool == "" {
 		return nil
 	}
 	moves := s.assignMachines()
-	if len(moves) > 0 {
-		return moves
+	taken := map[string]bool{}
+	for _, m := range moves {
+		taken[m.Machine] = true
 	}
-	return s.returnIdle()
+	return append(moves, s.returnIdle(taken)...)
 }
 
-// assignMachines moves spare machines, then idle ones of other pools, one at a time
-// to the pool with the longest backlog among those with a shortage. A pool's backlog
-// shrinks with each machine that it is given, so that pools which peak together
-// share the machines. What is still lacking then may come from busy machines.
+// assignMachines moves available machines, one at a time, to the pool with the longest
+// backlog among those with a shortage. A pool's backlog shrinks with each machine that
+// it is given, so that pools which peak together share the machines. What is still
+// lacking then may come from busy machines.
 func (s Snapshot) assignMachines() []Move {
 	shortages := s.shortages()
 	var moves []Move
@@ -145,33 +146,48 @@
 	return longest
 }
 
-// available returns the machines that may move to another pool, those that are off
-// first.
+// available returns the machines that may move to another pool: first those that would
+// be switched off, which saves a second move, then those that are off, then those that
+// have just become idle and may be needed again.
 func (s Snapshot) available() []machine.Machine {
+	inService := func(m machine.Machine) bool { return !s.OutOfService[m.DataCentre] }
+	idle := s.idle(idleBeforeMove, inService, nil)
+	returning := 0
+	for returning < len(idle) && s.idleFor(idle[returning]) >= idleBeforeReturn {
+		returning++
+	}
 	var off []machine.Machine
 	for _, m := range s.byName() {
 		if m.Pool == s.SparePool && m.State == machine.Up && !s.Busy[m.Name] && !s.OutOfService[m.DataCentre] {
 			off = append(off, m)
 		}
 	}
-	return append(off, s.idle(idleBeforeMove, func(m machine.Machine) bool { return !s.OutOfService[m.DataCentre] })...)
+	return slices.Concat(idle[:returning], off, idle[returning:])
+}
+
+// idleFor returns how long a machine's instance has been idle.
+func (s Snapshot) idleFor(m machine.Machine) time.Duration {
+	return s.Demand[m.Pool].Instances[m.Instance].IdleFor
 }
 
-// idle returns the eligible machines that have been idle for at least a time, beyond
-// those that their pools keep. Machines of a data centre that takes no work can't
-// run tasks, so they aren't kept and don't count towards a pool's size.
-func (s Snapshot) idle(atLeast time.Duration, eligible func(machine.Machine) bool) []machine.Machine {
+// idle returns the eligible machines that have been idle for at least a time, the
+// longest first, beyond those that their pools keep, without those that are taken for other pools. Machines
+// of a data centre that takes no work can't run tasks, so they aren't kept and don't
+// count towards a pool's size.
+func (s Snapshot) idle(atLeast time.Duration, eligible func(machine.Machine) bool, taken map[string]bool) []machine.Machine {
 	sizes := map[string]int{}
 	for _, m := range s.Machines {
-		if !s.OutOfService[m.DataCentre] {
+		if !s.OutOfService[m.DataCentre] && !taken[m.Name] {
 			sizes[m.Pool]++
 		}
 	}
 	minSizes := s.minSizes()
+	machines := s.byName()
+	slices.SortStableFunc(machines, func(a, b machine.Machine) int { return cmp.Compare(s.idleFor(b), s.idleFor(a)) })
 	var out []machine.Machine
-	for _, m := range s.byName() {
+	for _, m := range machines {
 		d, known := s.Demand[m.Pool]
-		if !known || m.Pool == s.SparePool || s.Busy[m.Name] || m.State != machine.Up || !eligible(m) {
+		if !known || m.Pool == s.SparePool || s.Busy[m.Name] || taken[m.Name] || m.State != machine.Up || !eligible(m) {
 			continue
 		}
 		i, listed := d.Instances[m.Instance]
@@ -290,10 +306,11 @@
 	return total / max(len(s.Machines), 1)
 }
 
-// returnIdle moves idle machines back to the spare pool, which switches them off.
-func (s Snapshot) returnIdle() []Move {
+// returnIdle moves idle machines that aren't taken for other pools back to the spare
+// pool, which switches them off.
+func (s Snapshot) returnIdle(taken map[string]bool) []Move {
 	var moves []Move
-	for _, m := range s.idle(idleBeforeReturn, func(machine.Machine) bool { return true }) {
+	for _, m := range s.idle(idleBeforeReturn, func(machine.Machine) bool { return true }, taken) {
 		moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: s.SparePool, Instance: m.Instance})
 	}
 	return moves
