--- a/internal/datacentre/datacentre.go
+++ b/internal/datacentre/datacentre.go
@@ -23,15 +23,5 @@
 // the configuration doesn't name is out of service.
 func (s Set) InService(name string) bool { return s.inService[name] }
 
-// AnyOut reports whether some data centre is out of service.
-func (s Set) AnyOut() bool {
-	for _, in := range s.inService {
-		if !in {
-			return true
-		}
-	}
-	return false
-}
-
 // Names returns all data centres, sorted.
 func (s Set) Names() []string { return slices.Sorted(maps.Keys(s.inService)) }
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -177,7 +177,6 @@
 		Log: d.log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, View: d.view, Clock: d.ports.Clock,
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
-			Harm: millis(b.HarmMS), Notice: millis(b.NoticeMS),
 			Move:   seconds(b.MoveS) + registryReadInterval,
 			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
--- a/internal/fleetd/documented_test.go
+++ b/internal/fleetd/documented_test.go
@@ -33,7 +33,7 @@
 }
 
 const settings = `{"instance":"a","data_centre":"z","callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
-"operations":"127.0.0.1:4","store":"127.0.0.1:5","machines":"127.0.0.1:6","advisor":"","units":24,"processor_share":0.4,"duties_per_second":64,"memory_mb":284,
+"operations":"127.0.0.1:4","store":"127.0.0.1:5","machines":"127.0.0.1:6","advisor":"","units":24,"processor_share":0.4,"duties_per_second":64,"lists_per_second":64,"memory_mb":284,
 "bounds":{"max_lease_ms":10000,"grace_s":6,"cancel_ms":3000,"drain_ms":2000,"evacuate_ms":5000}}`
 
 func TestSettingsNameTheWrongField(t *testing.T) {
@@ -46,6 +46,8 @@
 		{`"instance":"a"`, `"instance":""`, "f.json: instance: missing"},
 		{`"max_lease_ms":10000`, `"max_lease_ms":0`, "f.json: bounds.max_lease_ms: 0, want at least 1"},
 		{`"drain_ms":2000`, `"drain_ms":200`, "f.json: bounds.drain_ms: 200, want at least 1600"},
+		{`"lists_per_second":64`, `"lists_per_second":0`, "f.json: lists_per_second: 0, want more than 0"},
+		{`"grace_s":6`, `"grace_s":6,"harm_ms":1`, `f.json: json: unknown field "harm_ms"`},
 		{`"units":24`, `"units":24,"unit":1`, `f.json: json: unknown field "unit"`},
 	} {
 		_, err := ParseSettings("f.json", []byte(regexp.MustCompile(regexp.QuoteMeta(c.from)).ReplaceAllLiteralString(settings, c.to)))
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -37,8 +37,8 @@
 	// a whole core.
 	ProcessorShare float64 `json:"processor_share"`
 	// DutiesPerSecond and ListsPerSecond are the platform's limits on orders to
-	// machines and on lists of machines, for all daemons together. ListsPerSecond
-	// isn't enforced.
+	// machines and on readings of the list of machines, of which a list of many takes
+	// several, for all daemons together.
 	DutiesPerSecond float64       `json:"duties_per_second"`
 	ListsPerSecond  float64       `json:"lists_per_second"`
 	Bounds          BoundSettings `json:"bounds"`
@@ -58,8 +58,6 @@
 	StopTimeoutMS int64   `json:"stop_timeout_ms"`
 	StatusKeptS   float64 `json:"status_kept_s"`
 	GraceS        float64 `json:"grace_s"`
-	HarmMS        int64   `json:"harm_ms"`
-	NoticeMS      int64   `json:"notice_ms"`
 	MoveS         float64 `json:"move_s"`
 	MaintenanceS  float64 `json:"maintenance_s"`
 	DutyLeaseMS   int64   `json:"duty_lease_ms"`
@@ -107,6 +105,8 @@
 		return errors.Errorf("memory_mb: %d, want at least 1", s.MemoryMB)
 	case s.DutiesPerSecond <= 0:
 		return errors.Errorf("duties_per_second: %v, want more than 0", s.DutiesPerSecond)
+	case s.ListsPerSecond <= 0:
+		return errors.Errorf("lists_per_second: %v, want more than 0", s.ListsPerSecond)
 	case s.ProcessorShare <= 0:
 		return errors.Errorf("processor_share: %v, want more than 0", s.ProcessorShare)
 	case s.Bounds.MaxLeaseMS < 1:
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/platform"
 	"github.com/beryltide/beryltide/internal/record"
 )
@@ -71,7 +72,7 @@
 			return
 		}
 		if ev.Err != nil {
-			sleep(ctx, retry.NextBackOff())
+			pause.For(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
@@ -104,13 +105,3 @@
 		return false
 	}
 }
-
-// sleep returns after d, or when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,6 +15,7 @@
 
 	"github.com/beryltide/beryltide/internal/claims"
 	"github.com/beryltide/beryltide/internal/control"
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/record"
 )
 
@@ -92,7 +93,7 @@
 			return
 		}
 		p.logger.Warn("claims.handover_failed", zap.Error(err))
-		sleep(ctx, retryDelay)
+		pause.For(ctx, retryDelay)
 	}
 }
 
@@ -101,15 +102,6 @@
 	return r.HandedOver() < r.View().Epoch
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Caller calls members at their addresses.
 type Caller interface {
 	AcquireClaim(ctx context.Context, addr string, r claims.Request) (claims.Reply, error)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -212,16 +212,6 @@
 	return true
 }
 
-// Passed reports whether every member has applied offset at.
-func (ms *Members) Passed(at record.Offset) bool {
-	for _, m := range ms.byID {
-		if m.Folded < at {
-			return false
-		}
-	}
-	return true
-}
-
 // State is the serialized form of Members.
 type State struct {
 	Members     []Member          `msgpack:"m"`
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -15,6 +15,7 @@
 
 	"github.com/beryltide/beryltide/internal/configuration"
 	"github.com/beryltide/beryltide/internal/controlstate"
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/platform"
 	"github.com/beryltide/beryltide/internal/record"
 	"github.com/beryltide/beryltide/internal/replay"
@@ -127,7 +128,7 @@
 			snap := a.state.Snapshot()
 			return Applied{}, errors.Wrapf(configuration.ErrStale, "revision %d was accepted first", snap.Revision)
 		}
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if !pause.For(ctx, retry.NextBackOff()) {
 			return Applied{}, errors.Wrapf(ErrUnknown, "append: %v; read: %v", appendErr, readErr)
 		}
 	}
@@ -179,14 +180,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/operator/revision.go
+++ b/internal/operator/revision.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/beryltide/beryltide/internal/member"
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/status"
 )
 
@@ -57,7 +58,7 @@
 		case ctx.Err() == nil || daemon.Error == "":
 			daemon.Error = err.Error()
 		}
-		if !daemon.Behind(revision) || sleep(ctx, pollInterval) != nil {
+		if !daemon.Behind(revision) || !pause.For(ctx, pollInterval) {
 			return
 		}
 	}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -56,12 +56,6 @@
 	StatusKept time.Duration
 	// StopTimeout is the longest time that a stop takes.
 	StopTimeout time.Duration
-	// Harm is how long backfill tasks may keep a serving task above its latency
-	// target.
-	Harm time.Duration
-	// Notice is how long a long-running task still counts as unavailable after it
-	// has become available again.
-	Notice time.Duration
 	// Move is the time from the order to move a machine to another pool until it
 	// can be used there.
 	Move time.Duration
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/beryltide/beryltide/internal/control"
 	"github.com/beryltide/beryltide/internal/fleet"
+	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/platform"
 	"github.com/beryltide/beryltide/internal/record"
 )
@@ -56,9 +57,9 @@
 		instances := w.assignedInstances()
 		for _, inst := range instances {
 			w.poll(ctx, inst)
-			sleep(ctx, time.Second/pollsPerSecond)
+			pause.For(ctx, time.Second/pollsPerSecond)
 		}
-		sleep(ctx, roundInterval-time.Since(start))
+		pause.For(ctx, roundInterval-time.Since(start))
 	}
 }
 
@@ -102,15 +103,3 @@
 		w.opts.OnUsage(inst.Name, u, at)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/beryltide/beryltide/internal/memstore"
+	"github.com/beryltide/beryltide/internal/pause"
 )
 
 const (
@@ -205,23 +206,15 @@
 		go func() {
 			defer wg.Done()
 			f.begin()
-			sleep(ctx, duration)
+			pause.For(ctx, duration)
 			f.end()
 		}()
-		sleep(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
+		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
 	return schedule
 }
 
-// sleep returns after d, or when the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // fault is a disruption: begin starts it and end undoes it.
 type fault struct {
 	name       string
