End the forecast's growth with the ramp

Change: no growth is extrapolated while the newest 0.75 s brought less work than those before them.

Test: TestGrowthEndsWithTheRamp (failed before).

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -60,7 +60,8 @@
 }
 
 // Cores returns how many cores arriving work will use after a time, by linear
-// extrapolation of the growth between the last two windows.
+// extrapolation of the growth between the last two windows, for as long as the rate
+// rises: the windows show the end of a ramp only later.
 func (a *Arrivals) Cores(now time.Time, after time.Duration) float64 {
 	a.advance(now)
 	window := min(max(a.criticalPath, shortestWindow), longestWindow)
@@ -68,6 +69,9 @@
 	recent, earlier := a.sum(0, buckets), a.sum(buckets, 2*buckets)
 	span := (time.Duration(buckets) * bucketSpan).Seconds()
 	growth := max(recent-earlier, 0) / span * (after.Seconds() / span)
+	if newest := int64(shortestWindow / bucketSpan); a.sum(0, newest) < a.sum(newest, 2*newest) {
+		growth = 0
+	}
 	return min(recent/span+growth, maxGrowth*recent/span)
 }
 
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -13,11 +13,16 @@
 // addJobs adds jobs of 5 core-seconds and a critical path of 1 s, at a rate in jobs
 // per second, and returns the end of the span.
 func addJobs(a *Arrivals, span time.Duration, rate func(at time.Duration) float64) time.Time {
+	return addJobsOf(a, time.Second, span, rate)
+}
+
+// addJobsOf is addJobs with another critical path.
+func addJobsOf(a *Arrivals, criticalPath, span time.Duration, rate func(at time.Duration) float64) time.Time {
 	const tick = 5 * time.Millisecond
 	due := 0.0
 	for at := time.Duration(0); at < span; at += tick {
 		for due += rate(at) * tick.Seconds(); due >= 1; due-- {
-			a.Add(begin.Add(at), 5, time.Second)
+			a.Add(begin.Add(at), 5, criticalPath)
 		}
 	}
 	return begin.Add(span)
@@ -63,3 +68,15 @@
 	}
 	is.True(most <= maxGrowth*60/longestWindow.Seconds())
 }
+
+// The forecast must not go on rising after a ramp has ended: while the windows still
+// grew, 300 machines too many were sent for to a pool whose peak was over.
+func TestGrowthEndsWithTheRamp(t *testing.T) {
+	is := is.New(t)
+	var a Arrivals
+	now := addJobsOf(&a, 3*time.Second, 4500*time.Millisecond, func(at time.Duration) float64 {
+		return 60 - 20*(at-3*time.Second).Abs().Seconds() // rises for 3 s, then falls as it rose
+	})
+	// The last 3 s brought more than the 3 s before them, but work arrives ever slower.
+	is.True(a.Cores(now, 1500*time.Millisecond) <= 5*60)
+}
