Count a backlog against what long-running tasks leave

Cause: how long a pool needs for its waiting work was counted against all of its capacity.

Change: the capacity is what long-running tasks leave (Demand.workingCPU), in the shortage, in its order among pools, and for machines that are reclaimed.

Test: TestBacklogLeavesOutWhatLongRunningTasksHold (failed before).

--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -229,8 +229,8 @@
 	// work is the waiting work and a second's work of the tasks that are forecast to
 	// find no capacity, in core-seconds.
 	work float64
-	// capacity is that of the pool's usable and arriving machines, in thousandths of
-	// a core.
+	// capacity is that of the pool's usable and arriving machines without what
+	// long-running tasks take, in thousandths of a core.
 	capacity int
 }
 
@@ -258,22 +258,25 @@
 		}
 		if missing -= s.Arriving[pool]; missing > 0 {
 			out = append(out, shortage{
-				pool: pool, missing: missing, work: d.WaitingWork + float64(lacking)/1000, capacity: d.UsableCPU + s.Arriving[pool]*machineCPU,
+				pool: pool, missing: missing, work: d.WaitingWork + float64(lacking)/1000, capacity: d.workingCPU() + s.Arriving[pool]*machineCPU,
 			})
 		}
 	}
 	return out
 }
 
-// backlog returns how long all usable instances need for the waiting work.
+// workingCPU returns the capacity that isn't held by long-running tasks.
+func (d Demand) workingCPU() int { return max(d.UsableCPU-d.LastingCPU, 0) }
+
+// backlog returns how long the usable instances need for the waiting work.
 func (d Demand) backlog() time.Duration {
 	if d.WaitingCPU == 0 {
 		return 0
 	}
-	if d.UsableCPU == 0 {
+	if d.workingCPU() == 0 {
 		return endlessBacklog
 	}
-	return time.Duration(d.WaitingWork / float64(d.UsableCPU) * 1000 * float64(time.Second))
+	return time.Duration(d.WaitingWork / float64(d.workingCPU()) * 1000 * float64(time.Second))
 }
 
 // expectedShortfall returns the CPU that the pool will lack according to the
@@ -285,12 +288,12 @@
 	return max(d.ArrivingCPU+d.LastingCPU-d.UsableCPU, 0)
 }
 
-// endlessBacklog is the backlog of a pool without usable instances.
+// endlessBacklog is the backlog of a pool without capacity for the waiting work.
 const endlessBacklog = time.Hour
 
-// minMissing returns 1 for a pool without usable instances, else 0.
+// minMissing returns 1 for a pool without capacity for the waiting work, else 0.
 func minMissing(d Demand) int {
-	if d.UsableCPU == 0 {
+	if d.workingCPU() == 0 {
 		return 1
 	}
 	return 0
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -147,6 +147,24 @@
 	is.Equal(len(Plan(s)), 1)
 }
 
+// Work waits for what long-running tasks leave of a pool. Counted against all of it,
+// a pool whose memory was held by long-running tasks got no machine for 12 s, while
+// 14 machines' worth of tasks waited.
+func TestBacklogLeavesOutWhatLongRunningTasksHold(t *testing.T) {
+	is := is.New(t)
+	s := fleet(map[string]int{"held": 10, spare: 3})
+	s.addBacklog("held", 2*16000, 10) // 10 core-seconds for 160 cores
+	is.Equal(len(Plan(s)), 0)
+	d := s.Demand["held"]
+	d.LastingCPU = 8 * 16000 // 32 cores are left
+	s.Demand["held"] = d
+	is.Equal(len(Plan(s)), 2)
+	d.LastingCPU = 10 * 16000
+	d.WaitingCPU = 100
+	s.Demand["held"] = d
+	is.Equal(len(Plan(s)), 1)
+}
+
 func TestArrivingMachinesCount(t *testing.T) {
 	is := is.New(t)
 	s := fleet(map[string]int{"peak": 2, spare: 3})
--- a/internal/rebalance/reclaim.go
+++ b/internal/rebalance/reclaim.go
@@ -101,7 +101,7 @@
 		spare := min(sizes[pool]-leaving[pool]-s.BaseSizes[pool], int(reclaimShare*float64(sizes[pool]))-leaving[pool])
 		out = append(out, donor{
 			pool: pool, machines: machines, spare: spare,
-			work: d.WaitingWork + float64(d.expectedShortfall())/1000, capacity: d.UsableCPU,
+			work: d.WaitingWork + float64(d.expectedShortfall())/1000, capacity: d.workingCPU(),
 		})
 	}
 	slices.SortFunc(out, func(a, b donor) int { return cmp.Compare(a.pool, b.pool) })
