Count long-running tasks that have to move as need

Cause: the long-running tasks of an instance that is being emptied need room elsewhere, and weren't counted, since the instance isn't usable any more. In a pool whose memory was full they had nowhere to go, and held up the wave.

Change: Demand.LastingCPU counts them while the instance is in contact.

Test: TestForecastAndLongRunningTasksCountMemory.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -28,18 +28,21 @@
 func (u *Unit) demand(pool string, now time.Time) rebalance.Demand {
 	d := rebalance.Demand{Instances: map[string]rebalance.Instance{}}
 	outOfService := u.View.OperatorState().OutOfService
+	var lasting occupancy
 	for id, sess := range u.sessions {
-		if sess.reg.Pool == pool && sess.listed {
-			d.Instances[id] = sess.describe(now, outOfService[sess.reg.DataCentre])
+		if sess.reg.Pool != pool || !sess.listed {
+			continue
+		}
+		d.Instances[id] = sess.describe(now, outOfService[sess.reg.DataCentre])
+		if !sess.unreachable {
+			lasting = lasting.add(allocated(sess.usage.longRunningAllocation, sess.reg.Capacity), 1)
 		}
 	}
 	if a := u.arrivals[pool]; a != nil {
 		d.ArrivingCPU = int(a.cores(now, u.Bounds.Move) * 1000)
 	}
 	smallest := u.addWaiting(&d, pool)
-	var lasting occupancy
 	for _, n := range u.nodes(pool, now) {
-		lasting = lasting.add(allocated(n.LongRunning, n.Capacity), 1)
 		d.UsableCPU += n.Capacity.CPU
 		d.FreeCPU += freeCPU(n.Free, n.Capacity, smallest)
 	}
--- a/internal/owner/demand_test.go
+++ b/internal/owner/demand_test.go
@@ -83,6 +83,9 @@
 		u.observeArrival(newEntry(&job.Submission{ID: "w", Queue: testQueue, Pool: testPool, Steps: []job.Step{step}}), now)
 	}
 	is.Equal(u.demand(testPool, now).LastingCPU, 12_000)
+	sess.cordonRenewedAt = now // it is being emptied: its task needs room elsewhere
+	is.Equal(u.demand(testPool, now).LastingCPU, 12_000)
+	is.Equal(u.demand(testPool, now).UsableCPU, 0)
 	is.Equal(int(u.arrivals[testPool].cores(now.Add(time.Second), 0)), 240) // 30 halves of 16 cores
 }
 
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -56,7 +56,8 @@
 	// ArrivingCPU is what arriving work is forecast to occupy at the time at which a
 	// machine ordered now would arrive.
 	ArrivingCPU int
-	// LastingCPU is the allocation of the long-running tasks on usable instances.
+	// LastingCPU is the allocation of the long-running tasks on usable instances, and on
+	// those that are being emptied: they need room elsewhere.
 	LastingCPU int
 	// FreeCPU is the free capacity of usable instances that waiting tasks fit in; all
 	// of it if none waits.
