Start a wave on machines with long-running tasks

Cause: a wave began with machines that are off or idle, up to its bound.

Test: TestMachinesWithLongRunningTasksGoFirst.

--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/beryltide/beryltide/internal/catalog"
@@ -37,7 +38,7 @@
 )
 
 // Snapshot is the input of Plan. Its maps are keyed by the names of machines or
-// pools, Load by instance.
+// pools, Load and LongRunning by instance.
 type Snapshot struct {
 	Wave catalog.Wave
 	// Stages holds the wave's machines, Machines all listed ones.
@@ -49,6 +50,8 @@
 	SparePools map[string]bool
 	// Load is the number of runs on each instance; absent if unknown.
 	Load map[string]int
+	// LongRunning is the number of runs of long-running tasks on each instance.
+	LongRunning map[string]int
 	// DownByFormerHolder counts the wave's machines that are down for maintenance,
 	// or may be, by a former holder's orders.
 	DownByFormerHolder int
@@ -62,33 +65,63 @@
 	Out map[string]int
 }
 
-// Plan returns the names of the machines to start draining now, in order.
+// selection is the machines that Plan has chosen so far.
+type selection struct {
+	Snapshot
+	// chosen holds their names in order.
+	chosen []string
+	// inProgress counts the wave's machines that are out, longRunning those of them
+	// that have long-running tasks, and out those that are out by pool.
+	inProgress, longRunning int
+	out                     map[string]int
+}
+
+// Plan returns the names of the machines to start draining now, in order. Machines
+// with long-running tasks come first, up to half of the wave's bound: disruption
+// budgets let their tasks move only one after another, which takes most of a wave's
+// time. In pools with waiting work they come in the order of the others.
 func Plan(s Snapshot) []string {
-	inProgress := s.DownByFormerHolder
-	out := map[string]int{}
-	for pool, n := range s.Out {
-		out[pool] = n
-	}
+	sel := selection{Snapshot: s, inProgress: s.DownByFormerHolder, out: maps.Clone(s.Out)}
 	for name, stage := range s.Stages {
 		if stage == Draining || stage == Down {
-			inProgress++
-			out[s.Machines[name].Pool]++
+			sel.count(name)
 		}
 	}
-	var selected []string
+	var others []string
 	for _, name := range s.candidates() {
-		m := s.Machines[name]
-		if inProgress >= s.Wave.AtOnce {
-			break
-		}
-		if s.load(name) > 0 && out[m.Pool] >= poolBound(s.PoolSizes[m.Pool]) {
+		if s.hasLongRunning(name) && !s.Waiting[s.Machines[name].Pool] && sel.longRunning < max(s.Wave.AtOnce/2, 1) && sel.choose(name) {
 			continue
 		}
-		selected = append(selected, name)
-		inProgress++
-		out[m.Pool]++
+		others = append(others, name)
 	}
-	return selected
+	for _, name := range others {
+		sel.choose(name)
+	}
+	return sel.chosen
+}
+
+// choose adds a machine if the bounds of the wave and of its pool allow it.
+func (sel *selection) choose(name string) bool {
+	pool := sel.Machines[name].Pool
+	if sel.inProgress >= sel.Wave.AtOnce || sel.load(name) > 0 && sel.out[pool] >= poolBound(sel.PoolSizes[pool]) {
+		return false
+	}
+	sel.chosen = append(sel.chosen, name)
+	sel.count(name)
+	return true
+}
+
+func (sel *selection) count(name string) {
+	sel.inProgress++
+	sel.out[sel.Machines[name].Pool]++
+	if sel.hasLongRunning(name) {
+		sel.longRunning++
+	}
+}
+
+// hasLongRunning reports whether long-running tasks run on a machine.
+func (s Snapshot) hasLongRunning(name string) bool {
+	return s.LongRunning[s.Machines[name].Instance] > 0
 }
 
 // poolBound returns how many of a pool's machines may be out at once; at least 1.
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -75,3 +75,23 @@
 	s.Load["i-m02"] = 0
 	is.Equal(Plan(s), []string{"m02"})
 }
+
+// Machines with long-running tasks must start with a wave, not after those that are
+// off: their tasks move one after another, so a wave that started on them 5 s late
+// ended late. They leave half of the bound to the others, and machines of a peak alone.
+func TestMachinesWithLongRunningTasksGoFirst(t *testing.T) {
+	is := is.New(t)
+	s := dueWave(6, 24)
+	s.Load = zeroLoad(s.Load)
+	s.LongRunning = map[string]int{}
+	for _, name := range []string{"m20", "m21", "m22", "m23"} {
+		s.Load["i-"+name], s.LongRunning["i-"+name] = 2, 2
+	}
+	is.Equal(Plan(s), []string{"m20", "m21", "m22", "m00", "m01", "m02"})
+	s.Stages["m20"], s.Stages["m21"], s.Stages["m22"] = Draining, Draining, Draining
+	is.Equal(Plan(s), []string{"m00", "m01", "m02"})
+	s.Stages["m20"] = Finished
+	is.Equal(Plan(s)[0], "m23")
+	s.Waiting["p"] = true
+	is.Equal(Plan(s)[0], "m00")
+}
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -139,7 +139,7 @@
 func (c *Controller) snapshot(wave catalog.Wave, p *progress) Snapshot {
 	s := Snapshot{
 		Wave: wave, Stages: p.stages, Machines: c.listed,
-		PoolSizes: map[string]int{}, SparePools: map[string]bool{}, Load: map[string]int{}, Out: map[string]int{}, Waiting: map[string]bool{}, Reserved: map[string]bool{},
+		PoolSizes: map[string]int{}, SparePools: map[string]bool{}, Load: map[string]int{}, LongRunning: map[string]int{}, Out: map[string]int{}, Waiting: map[string]bool{}, Reserved: map[string]bool{},
 	}
 	for _, name := range wave.Machines {
 		stage := p.stages[name]
@@ -160,7 +160,7 @@
 	for pool, d := range c.demand {
 		s.Waiting[pool] = d.WaitingCPU > 0
 		for id, i := range d.Instances {
-			s.Load[id] = i.Runs
+			s.Load[id], s.LongRunning[id] = i.Runs, i.Lasting
 		}
 	}
 	return s
