--- a/internal/owner/demand_test.go
+++ b/internal/owner/demand_test.go
@@ -95,3 +95,21 @@
 	is.Equal(demandOf(0, 4000, &job.Resources{CPU: 9000}).WaitingCPU, 2*4000)
 	is.Equal(demandOf(0, 4000, &job.Resources{CPU: 3999}).WaitingCPU, 0)
 }
+
+// What the leader names as due for maintenance must reach the placing of tasks, and end
+// with the order that no longer names it.
+func TestPlacingKnowsWhatIsDueForMaintenance(t *testing.T) {
+	is := is.New(t)
+	u := peakUnit(2, 0, 0)
+	due := func(ids ...string) (marked []string) {
+		u.setGrants(GrantOrder{Pool: testPool, MaintenanceDue: ids})
+		for _, n := range u.nodes(testPool, time.Now()) {
+			if n.MaintenanceDue {
+				marked = append(marked, n.ID)
+			}
+		}
+		return marked
+	}
+	is.Equal(due("i-1"), []string{"i-1"})
+	is.Equal(len(due()), 0)
+}
