Send machines for long-running tasks that wait

Cause: need was judged by how long the waiting work would take, and a long-running task is no work that ends.

Change: owners report what waiting long-running tasks need (WaitingLastingCPU); a pool lacks at least that, and gets machines before others. Tasks that don't fit the mean instance don't count, and none are sent while an idle machine didn't help: then labels or spreading are what they wait for.

Tests: TestWaitingLongRunningTasksGetMachines, TestWaitingLongRunningTasksAreNeed.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -54,7 +54,7 @@
 // smallest need of one for each resource; 0 if there is none.
 func (u *Unit) addWaiting(d *rebalance.Demand, pool string) (smallest job.Resources) {
 	size := u.meanInstance[pool]
-	var waiting occupancy
+	var waiting, lasting occupancy
 	allowances := map[*job.Resources]job.Resources{}
 	for _, c := range u.waiting[pool] {
 		e := u.jobs[c.Job]
@@ -67,11 +67,16 @@
 		}
 		task := occupancyOf(c.Step.Need, size)
 		waiting = waiting.add(task, tasks)
-		d.WaitingWork += u.estimate(e.job.Submission, c.Step).Seconds() * float64(task.largest()*tasks) / 1000
+		switch {
+		case c.Step.Lasting && c.Step.Need.Fits(size):
+			lasting = lasting.add(task, tasks)
+		case !c.Step.Lasting:
+			d.WaitingWork += u.estimate(e.job.Submission, c.Step).Seconds() * float64(task.largest()*tasks) / 1000
+		}
 		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
 		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
-	d.WaitingCPU = waiting.largest()
+	d.WaitingCPU, d.WaitingLastingCPU = waiting.largest(), lasting.largest()
 	return smallest
 }
 
--- a/internal/owner/demand_test.go
+++ b/internal/owner/demand_test.go
@@ -89,6 +89,21 @@
 	is.Equal(int(u.arrivals[testPool].cores(now.Add(time.Second), 0)), 240) // 30 halves of 16 cores
 }
 
+// Long-running tasks that wait are need of their own: they are no work that ends.
+func TestWaitingLongRunningTasksAreNeed(t *testing.T) {
+	is := is.New(t)
+	u := peakUnit(1, 0, 0)
+	u.measureInstances()
+	e := newEntry(&job.Submission{ID: "w", Queue: testQueue, Pool: testPool, Steps: []job.Step{{Count: 2, Lasting: true, Need: job.Resources{CPU: 1000, Memory: 32_000}}}})
+	u.addEntry(e)
+	c := &schedule.Candidate{Job: "w", Step: &e.job.Submission.Steps[0], Class: schedule.LongRunning, Tasks: []schedule.Task{{Index: 0}, {Index: 1}}}
+	u.waiting = map[string][]*schedule.Candidate{testPool: {c}}
+	d := u.demand(testPool, time.Now())
+	is.Equal(d.WaitingLastingCPU, 32_000)
+	is.Equal(d.WaitingCPU, 32_000)
+	is.Equal(d.WaitingWork, 0.0)
+}
+
 // No machine helps tasks that wait for their team's limit.
 func TestDemandLeavesOutTasksBeyondTheTeamsLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -21,6 +21,9 @@
 	// minBacklog is the backlog from which a move pays: a machine arrives after
 	// 1.5 s.
 	minBacklog = 200 * time.Millisecond
+	// lastingWork is the work for which a long-running task counts that waits: its
+	// service is missing for as long as it does.
+	lastingWork = 10 * time.Second
 	// idleBeforeReturn is how long a machine must be idle before it is switched
 	// off: a move costs as much as one second of a machine in a pool.
 	idleBeforeReturn = 800 * time.Millisecond
@@ -51,6 +54,8 @@
 	// limit holds back. It includes the capacity that is left unused beside them,
 	// since a machine runs whole tasks.
 	WaitingCPU int
+	// WaitingLastingCPU is the part of WaitingCPU that long-running tasks need.
+	WaitingLastingCPU int
 	// WaitingWork is WaitingCPU times the tasks' run times, in core-seconds.
 	WaitingWork float64
 	// ArrivingCPU is what arriving work is forecast to occupy at the time at which a
@@ -257,15 +262,28 @@
 		if d.backlog() > minBacklog {
 			missing = max(missing, (d.WaitingCPU-d.FreeCPU)/machineCPU, minMissing(d))
 		}
+		if lasting := d.WaitingLastingCPU - d.FreeCPU; lasting > 0 && !d.hasIdle() {
+			missing = max(missing, (lasting+machineCPU-1)/machineCPU)
+		}
 		if missing -= s.Arriving[pool]; missing > 0 {
-			out = append(out, shortage{
-				pool: pool, missing: missing, work: d.WaitingWork + float64(lacking)/1000, capacity: d.workingCPU() + s.Arriving[pool]*machineCPU,
-			})
+			work := d.WaitingWork + float64(lacking)/1000 + lastingWork.Seconds()*float64(d.WaitingLastingCPU)/1000
+			out = append(out, shortage{pool: pool, missing: missing, work: work, capacity: d.workingCPU() + s.Arriving[pool]*machineCPU})
 		}
 	}
 	return out
 }
 
+// hasIdle reports whether some usable instance has been idle for a while: tasks that
+// still wait don't fit it for another reason than its size, and may fit no other either.
+func (d Demand) hasIdle() bool {
+	for _, i := range d.Instances {
+		if i.Usable && i.Runs == 0 && i.IdleFor >= idleBeforeMove {
+			return true
+		}
+	}
+	return false
+}
+
 // workingCPU returns the capacity that isn't held by long-running tasks.
 func (d Demand) workingCPU() int { return max(d.UsableCPU-d.LastingCPU, 0) }
 
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -147,6 +147,25 @@
 	is.Equal(len(Plan(s)), 1)
 }
 
+// Long-running tasks that wait must get machines, however little work they are: 12 of a
+// service that needs a whole machine for each task waited all day for a pool of 110.
+func TestWaitingLongRunningTasksGetMachines(t *testing.T) {
+	is := is.New(t)
+	s := fleet(map[string]int{"held": 10, "calm": 2, spare: 5})
+	s.addBacklog("held", 3*16000, 0)
+	is.Equal(len(Plan(s)), 0)
+	d := s.Demand["held"]
+	d.WaitingLastingCPU = 2*16000 + 1
+	s.Demand["held"] = d
+	is.Equal(len(Plan(s)), 3)
+	d.FreeCPU = 2 * 16000 // they fit in what is free
+	s.Demand["held"] = d
+	is.Equal(len(Plan(s)), 1)
+	d.FreeCPU = 0
+	d.Instances["i-m-held-0"] = Instance{Usable: true, IdleFor: time.Second}
+	is.Equal(len(Plan(s)), 0) // a free machine didn't help, so another one won't
+}
+
 // Work waits for what long-running tasks leave of a pool. Counted against all of it,
 // a pool whose memory was held by long-running tasks got no machine for 12 s, while
 // 14 machines' worth of tasks waited.
