Take a daemon that has just started for no evidence that the store serves

Cause: a daemon that has just started has seen no call fail, and told its peers that the store serves it.

Change: the answer says whether the last call was served (AwayReply.Serving). Only such a daemon relays, or shows that an outage isn't shared.

Test: TestDaemonThatHasJustStartedIsNoEvidenceOfService (failed before).

--- a/internal/fleetd/outage.go
+++ b/internal/fleetd/outage.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// peersAway reports whether at least one peer answers, and the store is
-// unreachable for all that do.
+// peersAway reports whether the store is unreachable for at least one peer that
+// answers, and serves none. A peer whose last call failed, or that has made none, is no
+// evidence either way.
 func (o *outage) peersAway(ctx context.Context) bool {
 	away := false
 	for _, address := range o.member.Peers() {
@@ -51,10 +52,10 @@
 		switch {
 		case err != nil:
 			o.logger.Debug("outage.peer_silent", zap.String("peer", address), zap.Error(err))
-		case reply.For == 0:
-			return false
-		default:
+		case reply.For > 0:
 			away = true
+		case reply.Serving:
+			return false
 		}
 	}
 	return away
--- a/internal/fleetd/outage_test.go
+++ b/internal/fleetd/outage_test.go
@@ -34,13 +34,19 @@
 // to detect the outage.
 func unreachableLog(t *testing.T, client *memstore.Client, clock *fakeClock) *store.Watched {
 	log := store.Watch(client, clock.read)
+	failCalls(t, client, log, clock)
+	return log
+}
+
+// failCalls makes the store fail all calls of a client, and makes enough of them to
+// detect the outage.
+func failCalls(t *testing.T, client *memstore.Client, log *store.Watched, clock *fakeClock) {
 	client.SetFault(func(string) memstore.Fault { return memstore.LoseCall })
 	for range 3 {
 		_, err := log.Owners(t.Context(), ownership.Group)
 		is.New(t).True(err != nil)
 		clock.advance(200 * time.Millisecond)
 	}
-	return log
 }
 
 // A daemon that is cut off from the store alone must not treat the outage as
@@ -79,22 +85,32 @@
 
 // startOwner starts the peer port of a daemon that owns a unit, and returns its log.
 func startOwner(t *testing.T, s *memstore.Store, served bool, clock *fakeClock) *store.Watched {
+	client := s.Client()
+	log := store.Watch(client, clock.read)
+	serveOwner(t, client, log)
+	if served {
+		_, err := log.Owners(t.Context(), ownership.Group)
+		is.New(t).NoErr(err)
+	} else {
+		failCalls(t, client, log, clock)
+	}
+	return log
+}
+
+// serveOwner starts the peer port of a daemon that owns a unit, with the log through
+// which it sees the store.
+func serveOwner(t *testing.T, client *memstore.Client, log *store.Watched) *store.Watched {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	client := s.Client()
 	_, err = client.Join(context.Background(), store.Join{
 		Group: ownership.Group, Member: listener.Addr().String() + "#1#1", Topics: []string{ownership.Topic}, TTL: time.Hour,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := store.Watch(client, clock.read)
-	if !served {
-		log = unreachableLog(t, client, clock)
-	}
 	services := ownerrpc.Services{Units: noUnits{}, Log: store.Direct(log), MembersChanged: func() {}}
 	go func() { _ = ownerrpc.Serve(listener, services, zap.NewNop()) }()
 	return log
--- a/internal/fleetd/relay.go
+++ b/internal/fleetd/relay.go
@@ -76,7 +76,7 @@
 	for _, address := range candidates {
 		go func() {
 			reply, err := r.peers.Away(ctx, address)
-			if err != nil || reply.For > 0 {
+			if err != nil || reply.For > 0 || !reply.Serving {
 				address = ""
 			}
 			found <- address
--- a/internal/fleetd/relay_test.go
+++ b/internal/fleetd/relay_test.go
@@ -98,3 +98,24 @@
 	is.True(errors.Is(err, store.ErrNotDone))
 	is.True(log.Away() > 0)
 }
+
+// A daemon that has just started knows of no outage, because it has made no call. Peers
+// took it for one that the store serves: for half a second of a shared outage all of
+// them weren't ready, and sent their calls through it in vain.
+func TestDaemonThatHasJustStartedIsNoEvidenceOfService(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{}
+	s := memstore.New(4)
+	startOwner(t, s, false, clock)
+	fresh := serveOwner(t, s.Client(), store.Watch(s.Client(), clock.read))
+	is.Equal(fresh.Away(), time.Duration(0))
+	client := s.Client()
+	member := ownership.New(store.Direct(store.Watch(client, clock.read)), "127.0.0.1:1", "1", 1, alwaysAlive, clock.read, zap.NewNop())
+	member.Locate(t.Context(), 0, true) // reads the owners
+	is.Equal(len(member.Peers()), 2)
+	o := &outage{log: unreachableLog(t, client, clock), member: member, peers: ownerrpc.NewClient(), logger: zap.NewNop()}
+	is.True(o.peersAway(t.Context()))
+	r := &relay{ctx: t.Context(), candidates: member.Peers, peers: ownerrpc.NewClient(), logger: zap.NewNop()}
+	r.search()
+	is.True(r.current == nil)
+}
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -170,13 +170,16 @@
 
 // AwayReply is the state of a daemon's connection to the store.
 type AwayReply struct {
-	// For is how long the store hasn't served the daemon; 0 means that it does.
+	// For is how long the store hasn't served the daemon; 0 if no outage is known.
 	For time.Duration
+	// Serving is set if the store served the daemon's last call. A daemon that has just
+	// started knows of no outage either, but nothing speaks for the store.
+	Serving bool
 }
 
 // Away returns how long the store hasn't served this daemon.
 func (s *Server) Away(_ AwayRequest, reply *AwayReply) error {
-	reply.For = s.log.Away()
+	reply.For, reply.Serving = s.log.Away(), s.log.Serving()
 	return nil
 }
 
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -36,8 +36,10 @@
 	threshold int
 
 	mu sync.Mutex
-	// servedAt is when a call was last served.
+	// servedAt is when a call was last served, or the start if none was.
 	servedAt time.Duration
+	// proven is set once a call has been served.
+	proven bool
 	// failures is the number of failures since servedAt.
 	failures int
 	// firstFailureAt is when the first of them ended.
@@ -67,7 +69,7 @@
 			close(h.recovered)
 			h.recovered = make(chan struct{})
 		}
-		h.servedAt, h.failures = now, 0
+		h.servedAt, h.failures, h.proven = now, 0, true
 		return
 	}
 	if h.failures == 0 {
@@ -93,6 +95,13 @@
 	return h.failures >= h.threshold && h.clock()-h.lastFailureAt < failureTTL
 }
 
+// Serving reports whether the last call was served; false before the first one.
+func (h *Health) Serving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.proven && h.failures == 0
+}
+
 // ObserveLatency records how long the store took for a call, answered or not.
 func (h *Health) ObserveLatency(took time.Duration) {
 	if took < slowLatency {
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -24,6 +24,10 @@
 // is available.
 func (w *Watched) Away() time.Duration { return w.health.Away() }
 
+// Serving reports whether the store served this daemon's last call; false before the
+// first one.
+func (w *Watched) Serving() bool { return w.health.Serving() }
+
 // Slow reports whether the store has recently taken much longer than usual for a call
 // of this daemon.
 func (w *Watched) Slow() bool { return w.health.Slow() }
