Return no reply that a late answer may still be written to

Cause: the client's methods returned a copy of the reply also after an error, when net/rpc may be writing a late answer to it. The race detector showed it once, in TestStoreIsReachedThroughAPeer, where a search for a relay had ended before an answer came; callers don't look at a reply beside an error, so nothing was decided by it.

Change: one generic call that returns an empty reply beside an error, as package peer has.

--- a/internal/ownerrpc/client.go
+++ b/internal/ownerrpc/client.go
@@ -36,54 +36,50 @@
 
 // Job calls Server.Job of the owner at an address.
 func (c *Client) Job(ctx context.Context, address string, req JobRequest) (JobReply, error) {
-	var reply JobReply
-	err := c.Call(ctx, address, serviceName+".Job", req, &reply)
-	return reply, err
+	return call[JobReply](ctx, c, callTimeout, address, "Job", req)
 }
 
 // Queue calls Server.Queue of the owner at an address.
 func (c *Client) Queue(ctx context.Context, address string, req QueueRequest) (QueueReply, error) {
-	var reply QueueReply
-	err := c.Call(ctx, address, serviceName+".Queue", req, &reply)
-	return reply, err
+	return call[QueueReply](ctx, c, callTimeout, address, "Queue", req)
 }
 
 // Release calls Server.Release of the owner at an address.
 func (c *Client) Release(ctx context.Context, address string, req ReleaseRequest) (ReleaseReply, error) {
-	var reply ReleaseReply
-	err := c.Call(ctx, address, serviceName+".Release", req, &reply)
-	return reply, err
+	return call[ReleaseReply](ctx, c, callTimeout, address, "Release", req)
 }
 
 // Demand calls Server.Demand of the owner at an address.
 func (c *Client) Demand(ctx context.Context, address string, req DemandRequest) (DemandReply, error) {
-	var reply DemandReply
-	err := c.Call(ctx, address, serviceName+".Demand", req, &reply)
-	return reply, err
+	return call[DemandReply](ctx, c, callTimeout, address, "Demand", req)
 }
 
 // Store calls Server.Store of a peer.
 func (c *Client) Store(ctx context.Context, address string, req StoreRequest) (StoreReply, error) {
-	var reply StoreReply
-	err := c.callWithin(ctx, req.Timeout+storeMargin, address, serviceName+".Store", req, &reply)
-	return reply, err
+	return call[StoreReply](ctx, c, req.Timeout+storeMargin, address, "Store", req)
 }
 
 // Away calls Server.Away of a peer.
 func (c *Client) Away(ctx context.Context, address string) (AwayReply, error) {
-	var reply AwayReply
-	err := c.Call(ctx, address, serviceName+".Away", AwayRequest{}, &reply)
-	return reply, err
+	return call[AwayReply](ctx, c, callTimeout, address, "Away", AwayRequest{})
 }
 
 // Left calls Server.Left of a peer.
 func (c *Client) Left(ctx context.Context, address string) error {
-	return c.Call(ctx, address, serviceName+".Left", LeftRequest{}, &LeftReply{})
+	_, err := call[LeftReply](ctx, c, callTimeout, address, "Left", LeftRequest{})
+	return err
 }
 
-// Call makes one call of at most callTimeout, plus dialTimeout to connect.
-func (c *Client) Call(ctx context.Context, address, method string, req, reply any) error {
-	return c.callWithin(ctx, callTimeout, address, method, req, reply)
+// call makes one call of at most a time to a method of Server, plus dialTimeout to
+// connect. Its reply is empty after an error: a late answer may still be written to that
+// of the call.
+func call[Reply any](ctx context.Context, c *Client, timeout time.Duration, address, method string, req any) (Reply, error) {
+	var reply Reply
+	if err := c.callWithin(ctx, timeout, address, serviceName+"."+method, req, &reply); err != nil {
+		var none Reply
+		return none, err
+	}
+	return reply, nil
 }
 
 // callWithin makes one call of at most a time, plus dialTimeout to connect. A
--- a/internal/ownerrpc/relay.go
+++ b/internal/ownerrpc/relay.go
@@ -143,8 +143,7 @@
 var _ store.Log = (*PeerLog)(nil)
 
 func (p *PeerLog) call(ctx context.Context, req RelayRequest) (RelayReply, error) {
-	var reply RelayReply
-	err := p.Client.callWithin(ctx, relayTimeout+req.Wait, p.Address, serviceName+".Relay", req, &reply)
+	reply, err := call[RelayReply](ctx, p.Client, relayTimeout+req.Wait, p.Address, "Relay", req)
 	switch {
 	case errors.Is(err, ErrUnsent):
 		err = errors.Wrap(store.ErrNotDone, err.Error())
