Revert "Keep machines for peaks beside those for long-running tasks"

The base size of a pool was made up of the machines for its long-running tasks and an even part of what is left of the share, and pools were filled up to it. Not kept; sizes would have to be remembered over a restart.

--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -132,7 +132,7 @@
 			}
 		}
 	}
-	s.BaseSizes = rebalance.BaseSizes(c.listed, c.demand, baseShare)
+	s.BaseSizes = c.baseSizes()
 	return s
 }
 
@@ -140,6 +140,20 @@
 // when no work waits; the rest may be off in the spare pool.
 const baseShare = 0.4
 
+// baseSizes divides the base share evenly among the pools with known demand. A
+// pool keeps at least one machine.
+func (c *Controller) baseSizes() map[string]int {
+	base := map[string]int{}
+	if len(c.demand) == 0 {
+		return base
+	}
+	perPool := int(baseShare * float64(len(c.listed)) / float64(len(c.demand)))
+	for pool := range c.demand {
+		base[pool] = max(perPool, 1)
+	}
+	return base
+}
+
 // handleMoveResult logs an order to move. Unless the platform refused it, the
 // machine counts as moving.
 func (c *Controller) handleMoveResult(m rebalance.Move, err error) {
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -24,9 +24,6 @@
 	// lastingWork is the work for which a long-running task counts that waits: its
 	// service is missing for as long as it does.
 	lastingWork = 10 * time.Second
-	// baseSlack is the part of its base size by which a pool may be smaller before it is
-	// filled up, as 1 in so many: the size follows the long-running tasks.
-	baseSlack = 8
 	// idleBeforeReturn is how long a machine must be idle before it is switched
 	// off: a move costs as much as one second of a machine in a pool.
 	idleBeforeReturn = 800 * time.Millisecond
@@ -88,8 +85,7 @@
 	// SparePool is the name of the spare pool, whose machines are off; "" if there is
 	// none.
 	SparePool string
-	// BaseSizes holds the number of machines that each pool keeps when it is idle, and
-	// is filled up to if it has clearly fewer.
+	// BaseSizes holds the number of machines that each pool keeps when it is idle.
 	BaseSizes map[string]int
 	// Arriving is the number of machines on their way to each pool, or draining for
 	// it.
@@ -256,11 +252,6 @@
 func (s Snapshot) shortages() []shortage {
 	var out []shortage
 	machineCPU := s.meanMachineCPU()
-	// Machines are listed in a pool from the order to move there on.
-	sizes := map[string]int{}
-	for _, m := range s.Machines {
-		sizes[m.Pool]++
-	}
 	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
 		d := s.Demand[pool]
 		if pool == s.SparePool || machineCPU == 0 {
@@ -274,11 +265,7 @@
 		if lasting := d.WaitingLastingCPU - d.FreeCPU; lasting > 0 && !d.hasIdle() {
 			missing = max(missing, (lasting+machineCPU-1)/machineCPU)
 		}
-		missing -= s.Arriving[pool]
-		if below := s.BaseSizes[pool] - sizes[pool]; below > s.BaseSizes[pool]/baseSlack {
-			missing = max(missing, below)
-		}
-		if missing > 0 {
+		if missing -= s.Arriving[pool]; missing > 0 {
 			work := d.WaitingWork + float64(lacking)/1000 + lastingWork.Seconds()*float64(d.WaitingLastingCPU)/1000
 			out = append(out, shortage{pool: pool, missing: missing, work: work, capacity: d.workingCPU() + s.Arriving[pool]*machineCPU})
 		}
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -184,34 +184,6 @@
 	is.Equal(len(Plan(s)), 1)
 }
 
-// The machines that pools keep must leave each of them the same for a peak.
-func TestBaseSizesComeOnTopOfLongRunningTasks(t *testing.T) {
-	is := is.New(t)
-	s := fleet(map[string]int{"held": 40, "calm": 10, spare: 50})
-	d := s.Demand["held"]
-	d.LastingCPU, d.WaitingLastingCPU = 15*16000, 5*16000
-	s.Demand["held"] = d
-	is.Equal(BaseSizes(s.Machines, s.Demand, 0.4), map[string]int{"held": 20 + 10, "calm": 10})
-	is.Equal(BaseSizes(s.Machines, s.Demand, 0.1), map[string]int{"held": 20, "calm": 1})
-	is.Equal(len(BaseSizes(s.Machines, nil, 0.4)), 0)
-}
-
-// A pool must be filled up to its base size, since its long-running tasks may have come
-// after it was reduced to it.
-func TestPoolIsFilledUpToItsBaseSize(t *testing.T) {
-	is := is.New(t)
-	s := fleet(map[string]int{"held": 16, spare: 9})
-	s.BaseSizes["held"] = 18
-	is.Equal(len(Plan(s)), 0) // a little less is left as it is
-	s.BaseSizes["held"] = 20
-	is.Equal(len(Plan(s)), 4)
-	s.Arriving["held"] = 4
-	for _, m := range Plan(s) {
-		s.Machines[m.Machine] = machine.Machine{Name: m.Machine, Pool: "held", State: machine.Moving}
-	}
-	is.Equal(len(Plan(s)), 0) // they are on their way
-}
-
 func TestArrivingMachinesCount(t *testing.T) {
 	is := is.New(t)
 	s := fleet(map[string]int{"peak": 2, spare: 3})
--- a/internal/rebalance/replay_test.go
+++ b/internal/rebalance/replay_test.go
@@ -104,9 +104,6 @@
 	for i := range spareSize + baseSize - sim.size - len(sim.arriving) {
 		s.Machines[fmt.Sprintf("off-%d", i)] = machine.Machine{Name: fmt.Sprintf("off-%d", i), Pool: spare, State: machine.Up, Capacity: job.Resources{CPU: cores * 1000}}
 	}
-	for i := range sim.size + len(sim.arriving) {
-		s.Machines[fmt.Sprintf("on-%d", i)] = machine.Machine{Name: fmt.Sprintf("on-%d", i), Pool: "peak", State: machine.Up, Capacity: job.Resources{CPU: cores * 1000}}
-	}
 	d := Demand{UsableCPU: sim.size * cores * 1000}
 	for _, p := range sim.queue {
 		d.WaitingWork += p.work
