Keep jobs that fail again, and full instances for their whole backoff (suspected faults)

- dispatch: a job that failed and then succeeded left its name in the order of failed jobs.
If it failed again, the bound dropped its new record instead of the oldest, and a job at fault was tried again.
- traffic: the timer of an instance's first refusal also ended the backoff of a later one.
Test: TestInstanceThatIsFullAgainWaitsAnew (failed before).

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -43,7 +43,14 @@
 	return !ok || f.refusedUntil.IsZero() || !now.Before(f.refusedUntil)
 }
 
-func (j *failedJobs) recordSuccess(job string) { delete(j.byName, job) }
+func (j *failedJobs) recordSuccess(job string) {
+	if _, known := j.byName[job]; !known {
+		return
+	}
+	delete(j.byName, job)
+	at := slices.Index(j.order, job)
+	j.order = slices.Delete(j.order, at, at+1)
+}
 
 // recordFailure records a failure. Once the job is at fault itself, it returns
 // the penalties to retract.
--- a/internal/traffic/broker_test.go
+++ b/internal/traffic/broker_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -75,3 +76,36 @@
 func (c fakeCredit) Release() { c.credits[c.team]++ }
 
 func (c fakeCredit) HoldUntil(time.Time) {}
+
+// An instance that refuses again must get no work for the whole backoff from then on.
+// The timer of its first refusal ended the second one's backoff too, 50 ms after the
+// first.
+func TestInstanceThatIsFullAgainWaitsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleet.New()
+		f.Adopt(0, record.Adopt{Instance: "i", Pool: "p", Slots: 8})
+		b := NewBroker(Options{Departures: departures.New(), Random: rand.New(rand.NewPCG(1, 1))})
+		b.appliedView = &control.View{Snapshot: &controlstate.Snapshot{Fleet: f}}
+		p := newPool("", departures.New())
+		p.Put(dispatch.Instance{Name: "i", Slots: 8, Connections: 8, Admission: dispatch.Open})
+		refused := func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.markFull(placement{instance: "i", pool: p})
+		}
+		free := func() int {
+			synctest.Wait()
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return p.Free()
+		}
+		refused()
+		time.Sleep(fullBackoff / 2)
+		refused()
+		time.Sleep(fullBackoff * 3 / 4)
+		is.Equal(free(), 0)
+		time.Sleep(fullBackoff / 2)
+		is.Equal(free(), 1)
+	})
+}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -30,6 +30,8 @@
 	// open holds for each instance whether it accepts work according to the
 	// view.
 	open map[string]bool
+	// fullUntil is until when each full instance gets no work.
+	fullUntil map[string]time.Time
 }
 
 func newPool(dataCentre string, leaving *departures.Set) *pool {
@@ -38,6 +40,8 @@
 		health:  dispatch.NewHealth(),
 		leaving: leaving,
 		open:    map[string]bool{},
+
+		fullUntil: map[string]time.Time{},
 	}
 }
 
@@ -144,11 +148,19 @@
 		return
 	}
 	pl.pool.SetPeerLoad(pl.instance, inst.Slots, 0)
+	pl.pool.fullUntil[pl.instance] = time.Now().Add(fullBackoff)
 	time.AfterFunc(fullBackoff, func() {
 		b.mu.Lock()
-		pl.pool.SetPeerLoad(pl.instance, 0, 0)
+		until, full := pl.pool.fullUntil[pl.instance]
+		ended := full && !time.Now().Before(until) // else it was found full again since
+		if ended {
+			delete(pl.pool.fullUntil, pl.instance)
+			pl.pool.SetPeerLoad(pl.instance, 0, 0)
+		}
 		b.mu.Unlock()
-		b.Dispatch()
+		if ended {
+			b.Dispatch()
+		}
 	})
 }
 
