--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/beryltide/beryltide/internal/bootclock"
+	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/fleetview"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/intake"
@@ -154,8 +155,8 @@
 		services := ownerrpc.Services{Units: d.units, Log: d.log, Appender: d.service, MembersChanged: d.member.JoinSoon}
 		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, services, d.logger)
 	}()
-	callers := d.server(d.ports.Callers(d.service, d.view))
-	go func() { serveErrors <- serve(callers, d.ports.CallersListener) }()
+	callers := newCallerServer(d.ports.Callers(d.service, d.view), d.ports.CallersListener, d.callerLimits)
+	go func() { serveErrors <- callers.serve() }()
 	go func() { serveErrors <- serve(d.server(http.HandlerFunc(d.ready)), d.ports.ReadinessListener) }()
 	go func() { serveErrors <- serve(d.server(d.operations()), d.ports.OperationsListener) }()
 	d.logger.Info("daemon.started", zap.String("instance", d.settings.Instance), zap.String("member", d.member.Name()))
@@ -260,6 +261,14 @@
 	}
 }
 
+// callerLimits returns the limits of the active configuration.
+func (d *Daemon) callerLimits() catalog.Limits {
+	if c := d.view.Catalog(); c != nil {
+		return c.Limits
+	}
+	return catalog.Limits{}
+}
+
 func (d *Daemon) server(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
@@ -304,7 +313,7 @@
 
 // stop gives up the units at once, keeps serving while the balancer still sends
 // requests, and lets running requests finish within the grace period.
-func (d *Daemon) stop(callers *http.Server) error {
+func (d *Daemon) stop(callers *callerServer) error {
 	d.logger.Info("daemon.stopping", zap.String("instance", d.settings.Instance))
 	close(d.stopping)
 	d.units.set(nil)
@@ -319,7 +328,7 @@
 	case <-ctx.Done():
 	case <-time.After(drainDelay):
 	}
-	err := callers.Shutdown(ctx)
+	err := callers.shutdown(ctx)
 	d.logger.Info("daemon.stopped", zap.Duration("took", time.Since(begin)), zap.Error(err))
 	return errors.Wrap(err, "shutdown")
 }
