--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -177,9 +177,9 @@
 }
 
 // idle returns the eligible machines that have been idle for at least a time, the
-// longest first, beyond those that their pools keep, without those that are taken for other pools. Machines
-// of a data centre that takes no work can't run tasks, so they aren't kept and don't
-// count towards a pool's size.
+// longest first, beyond those that their pools keep, and without those that are taken
+// for other pools. Machines of a data centre that takes no work can't run tasks, so they
+// aren't kept and don't count towards a pool's size.
 func (s Snapshot) idle(atLeast time.Duration, eligible func(machine.Machine) bool, taken map[string]bool) []machine.Machine {
 	sizes := map[string]int{}
 	for _, m := range s.Machines {
