Count a machine as gone only when the lists of 3 s leave it out

Cause: a machine of a wave that one list left out counted as having left the fleet. The list that a leader has may be half a second older than a wave that names a machine which has just joined, and it is read in pages besides.

Change: a machine has left once the lists of 3 s have left it out. Test: TestMachineMissingFromOneListHasNotLeft (failed before).

Also: what is due for maintenance is read only after the takeover. Before it, the records of waves are being loaded by another goroutine.

--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if !takenOver {
-		c.exchangeGrants(ctx, configuration)
+		c.exchangeGrants(ctx, configuration, nil)
 		return
 	}
 	var list listResult
@@ -210,7 +210,7 @@
 	if time.Since(c.listedAt) > maxListAge {
 		wg.Go(func() { list = c.readList(ctx) })
 	}
-	c.exchangeGrants(ctx, configuration)
+	c.exchangeGrants(ctx, configuration, c.maintenanceDue())
 	wg.Wait()
 	if !c.applyList(list) {
 		return
@@ -230,9 +230,9 @@
 	c.recordAges(ctx)
 }
 
-// exchangeGrants sends the owners of all pools what teams may run there, and
-// reads the pools' demand. Pools whose owner doesn't answer are left out.
-func (c *Controller) exchangeGrants(ctx context.Context, configuration *catalog.Catalog) {
+// exchangeGrants sends the owners of all pools what teams may run there and what is due
+// for maintenance, and reads the pools' demand. Pools whose owner doesn't answer are left out.
+func (c *Controller) exchangeGrants(ctx context.Context, configuration *catalog.Catalog, due map[string][]string) {
 	limits := map[string]job.Resources{}
 	for name, team := range configuration.Teams {
 		limits[name] = team.Limit
@@ -245,7 +245,6 @@
 	}
 	slices.Sort(pools)
 	orders := make([]owner.GrantOrder, len(pools))
-	due := c.maintenanceDue()
 	for n, name := range pools {
 		c.lastGrant++
 		orders[n] = owner.GrantOrder{Pool: name, Lead: c.Tenure.Epoch, Number: c.lastGrant, Grants: c.ledger.Grants(name, limits, pools), MaintenanceDue: due[name]}
--- a/internal/maintenance/controller_test.go
+++ b/internal/maintenance/controller_test.go
@@ -45,6 +45,8 @@
 	loseNextOrder map[string]bool
 	// firstOrder is when the first order was carried out.
 	firstOrder time.Time
+	// hidden are the machines that the lists leave out.
+	hidden map[string]bool
 	// orderLatency is the duration of each call to Maintain.
 	orderLatency time.Duration
 	down         int
@@ -69,7 +71,13 @@
 	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Values(f.machines)), nil
+	var all []machine.Machine
+	for name, m := range f.machines {
+		if !f.hidden[name] {
+			all = append(all, m)
+		}
+	}
+	return all, nil
 }
 
 func (f *fakeMachines) Move(context.Context, machine.Holder, string, string) error { return nil }
@@ -258,6 +266,31 @@
 	})
 }
 
+// A wave must not be reported as done while a machine of it hasn't been taken down. One
+// that a single list left out counted as having left the fleet, though it had joined
+// since that list was read. Machines that are gone for good must not hold the wave up.
+func TestMachineMissingFromOneListHasNotLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f := memstore.New(1), newFakeMachines(5)
+		f.hidden = map[string]bool{"m01": true, "m02": true, "m04": true}
+		ctx, cancel := context.WithCancel(context.Background())
+		startController(ctx, s, f, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
+		time.Sleep(maxListAge + reconcileInterval)
+		f.mu.Lock()
+		f.hidden = map[string]bool{"m04": true} // gone for good
+		f.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(f.begun), 4)
+		page, err := s.Client().Newest(context.Background(), "keyed.status", 0, "")
+		is.NoErr(err)
+		is.Equal(string(page.Records[0].Value), "true")
+	})
+}
+
 // The orders of a wave of many idle machines are sent at the platform's rate
 // limit instead of waiting for each other's answers.
 func TestWaveOrdersAreSentConcurrently(t *testing.T) {
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -24,6 +24,8 @@
 	orderedInstance map[string]string
 	// startAnnounced is true once the start of the wave has been published.
 	startAnnounced bool
+	// missingSince is when each machine was first missing from the list.
+	missingSince map[string]time.Time
 	// acknowledged marks the machines whose order the platform acknowledged.
 	acknowledged map[string]bool
 	// recordedBegun is the number of machines in the stored record's Begun.
@@ -60,7 +62,7 @@
 }
 
 func newProgress() *progress {
-	return &progress{stages: map[string]Stage{}, orderedAt: map[string]time.Time{}, orderedInstance: map[string]string{}, acknowledged: map[string]bool{}}
+	return &progress{stages: map[string]Stage{}, orderedAt: map[string]time.Time{}, orderedInstance: map[string]string{}, missingSince: map[string]time.Time{}, acknowledged: map[string]bool{}}
 }
 
 // advance carries a wave on by one pass of the control loop: it updates the
@@ -83,10 +85,15 @@
 func (c *Controller) updateStages(wave catalog.Wave, p *progress) {
 	for _, name := range wave.Machines {
 		m, exists := c.listed[name]
+		if exists {
+			delete(p.missingSince, name)
+		}
 		switch stage := p.stages[name]; {
 		case !exists && stage != Finished:
-			c.Logger.Info("maintenance.machine_left", zap.Int64("wave", wave.Number), zap.String("machine", name))
-			p.stages[name] = Finished
+			if c.hasLeft(p, name) {
+				c.Logger.Info("maintenance.machine_left", zap.Int64("wave", wave.Number), zap.String("machine", name))
+				p.stages[name] = Finished
+			}
 		case !exists:
 		case stage == Down && c.isBack(p, name, m) && !p.acknowledged[name]:
 			// The order wasn't acknowledged, and another order may have caused the
@@ -103,6 +110,21 @@
 	}
 }
 
+// leftAfter is how long a machine must be missing from all lists until it counts as
+// having left the fleet. A wave may name one that has joined since the list was read;
+// and lists are read in pages, so one that changes its place may be in none of them.
+const leftAfter = 3 * time.Second
+
+// hasLeft reports whether a machine has been missing from the lists for leftAfter.
+func (c *Controller) hasLeft(p *progress, name string) bool {
+	since, known := p.missingSince[name]
+	if !known {
+		p.missingSince[name] = c.listedAt
+		return false
+	}
+	return c.listedAt.Sub(since) >= leftAfter
+}
+
 // isBack reports whether a machine has come up again since its order. The list
 // must have been read at least maxListAge after the order.
 func (c *Controller) isBack(p *progress, name string, m machine.Machine) bool {
@@ -178,7 +200,10 @@
 		if stage != Draining || c.reserved(name) {
 			continue
 		}
-		m := c.listed[name]
+		m, listed := c.listed[name]
+		if !listed {
+			continue
+		}
 		if pool := configuration.Pools[m.Pool]; pool != nil && pool.Spare {
 			empty = append(empty, m)
 			continue
