--- /dev/null
+++ b/internal/job/ended.go
@@ -0,0 +1,101 @@
+package job
+
+import (
+	"time"
+)
+
+// Result is the effect of a run's end.
+type Result struct {
+	// Changed means that the job's record has to be stored.
+	Changed bool
+	// Ended means that the task's newest run has ended.
+	Ended bool
+	// StopAt is where a newer run of the task, which is done now, may still be
+	// running; nil if nowhere.
+	StopAt *Placement
+	// StopRun is the number of the run at StopAt.
+	StopRun int
+}
+
+// Ended applies the end of a run. Of runs before the newest one, only an end with
+// EndDone counts: the task need not run again. MaxFailures is the number of failures
+// at which the job fails; 0 means no limit.
+func (j *Job) Ended(id TaskID, run int, how End, checkpoint string, maxFailures int, now time.Time) Result {
+	t := j.Task(id)
+	if t == nil || t.Phase == Done || run > t.Run {
+		return Result{}
+	}
+	current := run == t.Run && t.Phase == Placed
+	if how == EndDone && !j.Step(id).Lasting {
+		return j.finish(id, t, current)
+	}
+	if !current {
+		return Result{}
+	}
+	j.placed--
+	t.Phase = Waiting
+	t.WaitingSince = now
+	t.AvoidInstance = ""
+	if checkpoint != "" && j.Step(id).Checkpointing {
+		j.saveCheckpoint(id, t, checkpoint)
+	}
+	if how == EndFailed {
+		j.recordFailure(id, t, maxFailures)
+	}
+	return Result{Changed: true, Ended: true}
+}
+
+// finish marks a task as done, and with it all members of its gang.
+func (j *Job) finish(id TaskID, t *Task, current bool) Result {
+	r := Result{Changed: true, Ended: current}
+	if t.Phase == Placed {
+		j.placed--
+		if !current {
+			at := t.Placement
+			r.StopAt, r.StopRun = &at, t.Run
+		}
+	}
+	o := j.occurrences[id.Occurrence]
+	t.Phase = Done
+	o.remaining--
+	if j.Step(id).Gang {
+		j.finishGang(o, id.Step)
+	}
+	if o.remaining == 0 {
+		delete(j.occurrences, id.Occurrence)
+		j.done++
+	}
+	return r
+}
+
+func (j *Job) finishGang(o *Occurrence, step int) {
+	for i := range o.Steps[step] {
+		t := &o.Steps[step][i]
+		if t.Phase == Done {
+			continue
+		}
+		if t.Phase == Placed {
+			j.placed--
+		}
+		t.Phase = Done
+		o.remaining--
+	}
+}
+
+func (j *Job) recordFailure(id TaskID, t *Task, maxFailures int) {
+	t.AvoidInstance = t.Placement.Instance
+	if j.Step(id).Lasting {
+		return
+	}
+	t.Failures++
+	failures := t.Failures
+	if j.Step(id).Gang {
+		failures = 0
+		for _, member := range j.occurrences[id.Occurrence].Steps[id.Step] {
+			failures += member.Failures
+		}
+	}
+	if maxFailures > 0 && failures >= maxFailures {
+		j.failed = true
+	}
+}
