Wait for appends to a slow store instead of repeating them

Cause: an append without an answer for 0.8 s was given up and sent again, though a partition lets appends wait for up to 2 s and carries out what it has taken.

Change: while the store is slow, an append without a deadline of its own has 3 s (store.Watched); the platform's client keeps to the context's deadline. Such an append ends when the store recovers from an outage, so that recovery isn't waited out.

Test: TestAppendsAreWaitedForWhileTheStoreIsSlow (failed before).

--- a/internal/store/probe_test.go
+++ b/internal/store/probe_test.go
@@ -91,3 +91,40 @@
 		is.True(!log.Slow())
 	})
 }
+
+// deadlineLog records how much time each append has, 0 if it isn't bounded.
+type deadlineLog struct {
+	*memstore.Client
+	left []time.Duration
+}
+
+func (l *deadlineLog) Append(ctx context.Context, _ string, _ int, _ []store.Record, _ *store.Sequence) error {
+	var left time.Duration
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	l.left = append(l.left, left)
+	return nil
+}
+
+// While the store is slow an append must be waited for, not repeated: an owner's append
+// that had waited for 0.8 s was sent again, and its copies alone kept the partition's
+// queue full for as long as the store was slow.
+func TestAppendsAreWaitedForWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(1)
+		log := &deadlineLog{Client: s.Client()}
+		begin := time.Now()
+		watched := store.Watch(log, func() time.Duration { return time.Since(begin) })
+		is.NoErr(watched.Append(t.Context(), "t", 0, nil, nil))
+		s.Latency = 150 * time.Millisecond
+		_, err := watched.Owners(t.Context(), "g")
+		is.NoErr(err)
+		is.NoErr(watched.Append(t.Context(), "t", 0, nil, nil))
+		bounded, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.NoErr(watched.Append(bounded, "t", 0, nil, nil))
+		is.Equal(log.left, []time.Duration{0, 3 * time.Second, time.Second})
+	})
+}
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -92,8 +92,27 @@
 	return false
 }
 
+// slowAppendTimeout is how long an append may take while the store is slow: the 2 s for
+// which a partition lets it wait behind others, and its own time.
+const slowAppendTimeout = 3 * time.Second
+
+// patient returns the context of an append. While the store is slow, one without a
+// deadline gets a late one: the store carries out what it has taken, so an append that is
+// repeated too early makes the queue longer. It ends when the store recovers from an
+// outage, since what was sent during one may never be answered.
+func (w *Watched) patient(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded || !w.Slow() {
+		return ctx, func() {}
+	}
+	recovery, cancelRecovery := w.health.untilRecovery(ctx)
+	ctx, cancel := context.WithTimeout(recovery, slowAppendTimeout)
+	return ctx, func() { cancel(); cancelRecovery() }
+}
+
 // Append implements Log.
 func (w *Watched) Append(ctx context.Context, topic string, partition int, records []Record, seq *Sequence) error {
+	ctx, cancel := w.patient(ctx)
+	defer cancel()
 	begin := w.health.clock()
 	err := w.log.Append(ctx, topic, partition, records, seq)
 	w.observe(ctx, begin, err)
@@ -102,6 +121,8 @@
 
 // AppendAt implements Log.
 func (w *Watched) AppendAt(ctx context.Context, topic string, partition int, records []Record, end int64) error {
+	ctx, cancel := w.patient(ctx)
+	defer cancel()
 	begin := w.health.clock()
 	err := w.log.AppendAt(ctx, topic, partition, records, end)
 	w.observe(ctx, begin, err)
