--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -293,6 +293,35 @@
 	is.True(direct <= 2*daemons)
 }
 
+// While a partition refuses appends its owner must probe it for all daemons: the probes of
+// 147 daemons, twice a second each, were more than a slow partition can take.
+func TestOwnerProbesForOthers(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New(4)
+	peer, local := s.Client(), s.Client()
+	peer.SetFault(refuseAppends)
+	startOwner(t, s, peer)
+	var direct atomic.Int32
+	local.SetFault(func(call string) memstore.Fault {
+		if call == "append" {
+			direct.Add(1)
+		}
+		return refuseAppends(call)
+	})
+	service := newService(local)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.True(errors.Is(service.Submit(ctx, submission()), ErrNotRun))
+	is.True(service.unitOutage(1) > 0)
+	before := direct.Load()
+	time.Sleep(3 * unitProbeInterval)
+	is.Equal(direct.Load(), before) // no probe of its own
+	peer.SetFault(nil)
+	time.Sleep(2 * unitProbeInterval)
+	is.Equal(service.unitOutage(1), time.Duration(0))
+	is.NoErr(service.Submit(t.Context(), submission()))
+}
+
 // Records that arrive while an append is in flight are stored together in the
 // next append.
 func TestRecordsAreStoredInBatches(t *testing.T) {
