--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -138,8 +138,9 @@
 // Appender appends callers' records to a unit's partition, those of several peers
 // together.
 type Appender interface {
-	// AppendForPeer without records probes whether the store takes appends. It returns an error that wraps store.ErrNotDone or store.ErrFull if
-	// nothing was stored, and another one if the records may have been.
+	// AppendForPeer returns an error that wraps store.ErrNotDone or store.ErrFull if
+	// nothing was stored, and another one if the records may have been. Without records
+	// it probes whether the store takes appends.
 	AppendForPeer(ctx context.Context, unit int, records []store.Record) error
 }
 
