--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -36,6 +36,8 @@
 // Daemon is a process of the project.
 type Daemon struct {
 	Name, Callers, Ready string
+	// Store is the proxy through which the daemon reaches the store.
+	Store *Proxy
 
 	settings string
 	site     *Site
@@ -137,9 +139,13 @@
 // AddDaemon starts a daemon with the command of the deploy file.
 func (s *Site) AddDaemon(name string) (*Daemon, error) {
 	d := &Daemon{Name: name, Callers: FreeAddress(), Ready: FreeAddress(), site: s, settings: filepath.Join(s.dir, name+".json")}
+	var err error
+	if d.Store, err = NewProxy(s.storeAt); err != nil {
+		return nil, err
+	}
 	settings := map[string]any{
 		"instance": name, "data_centre": "tr-a", "callers": d.Callers, "readiness": d.Ready, "peers": FreeAddress(), "operations": FreeAddress(),
-		"store": s.storeAt, "machines": s.cloudAt, "advisor": "127.0.0.1:1", "units": Partitions, "memory_mb": 284, "processor_share": 0.4,
+		"store": d.Store.Address, "machines": s.cloudAt, "advisor": "127.0.0.1:1", "units": Partitions, "memory_mb": 284, "processor_share": 0.4,
 		"duties_per_second": 64.0, "lists_per_second": 64.0,
 		"bounds": map[string]any{
 			"max_lease_ms": maxHold, "stop_timeout_ms": 200, "status_kept_s": 120, "grace_s": 6, "move_s": 1.5, "maintenance_s": 2,
