--- a/review/cmd/ends/main.go
+++ b/review/cmd/ends/main.go
@@ -30,7 +30,7 @@
 	}
 	defer site.Close()
 	var proxies []*standin.Proxy
-	for i := range 3 {
+	for i := range 6 {
 		p, err := site.AddServer(&standin.Server{
 			ID: fmt.Sprintf("i-7f3a91c%d", i), Machine: fmt.Sprintf("m-0a3f%d", i), Service: "runlist", Zone: "tr-a",
 			Labels: []string{"a", fmt.Sprintf("r1-%d", i)}, Capacity: standin.Resources{CPU: 64000, Memory: 131072},
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -22,7 +22,7 @@
 
 // NewProxy returns a proxy on a free port in front of a target.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", FreeAddress())
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -36,13 +35,39 @@
 	Server string
 	Born   int64
 	Start  time.Time
+	// Spec and Checkpoint are those of the order.
+	Spec, Checkpoint string
 	// How is empty while the task runs, "crash" if the server crashed.
 	How string
 	End time.Time
 	// Acked is when the end was acknowledged; zero before.
 	Acked time.Time
 
-	end int64
+	end  int64
+	took time.Duration
+}
+
+// checkpointTime is the work between two checkpoints.
+const checkpointTime = 500 * time.Millisecond
+
+// saved returns the run's checkpoint, which names its task; empty before the first one.
+func (r *Run) saved() string {
+	until := r.End
+	if until.IsZero() {
+		until = time.Now()
+	}
+	if n := until.Sub(r.Start) / checkpointTime; n > 0 && r.How != "done" {
+		return fmt.Sprintf("%s/%d/%d", r.Task, r.Number, n)
+	}
+	return r.Checkpoint
+}
+
+// percent returns the run's progress.
+func (r *Run) percent() int {
+	if r.took <= 0 {
+		return 100
+	}
+	return min(int(100*time.Since(r.Start)/r.took), 99)
 }
 
 // Ledger holds all runs. It is safe for concurrent use.
@@ -76,8 +101,12 @@
 	Ledger   *Ledger
 	// Work returns how long a run takes and how it ends; 0 means that it goes on.
 	Work func(task string, run int) (time.Duration, string)
+	// Ticket reports whether a ticket lets a task start on a server; nil for no policy.
+	Ticket func(server, task, ticket string) bool
 	// OnStart is called with the server's lock after a task has begun; nil for none.
 	OnStart func(r *Run)
+	// OnEnd is called without the lock after a run has ended; nil for none.
+	OnEnd func(r Run)
 	// Listen is the address of the server itself, Address the one that it registers.
 	Listen, Address string
 
@@ -166,6 +195,9 @@
 	s.Ledger.mu.Lock()
 	for _, r := range s.running {
 		r.How, r.End = "crash", now
+		if s.OnEnd != nil {
+			go s.OnEnd(*r)
+		}
 	}
 	s.Ledger.mu.Unlock()
 	s.Ledger.Record.Add("%s crashes with %d runs", s.ID, len(s.running))
@@ -216,196 +248,21 @@
 	s.Ledger.mu.Unlock()
 	s.Ledger.Record.Add("%s ends %s run %d: %s", s.ID, r.Task, r.Number, how)
 	s.ended = append(s.ended, r)
+	if s.OnEnd != nil {
+		go s.OnEnd(*r)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-type orderBody struct {
-	Task     string
-	Run      int
-	Spec     string
-	Deadline int64  `json:"deadline_ms"`
-	Fence    int64  `json:"fencing_token"`
-	Ack      int64  `json:"ack_cursor"`
-	Wait     int64  `json:"wait_ms"`
-	Percent  int    `json:"percent"`
-	Ticket   string `json:"ticket"`
-}
+// Running returns the number of running tasks, for OnStart.
+func (s *Server) Running() int { return len(s.running) }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	var body orderBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+// Finish ends a run. It must not be called by OnStart or Work.
+func (s *Server) Finish(task string, run int, how string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.up {
-		return
-	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if body.Fence < s.fence {
-		s.refuse(w, "fence")
-		return
-	}
-	s.fence = body.Fence
-	if body.Deadline > 0 {
-		s.until = max(s.until, min(body.Deadline, s.clock()+maxHold))
-	}
-	switch r.URL.Path {
-	case "/run-start":
-		s.start(w, body)
-	case "/run-stop":
-		s.stop(body)
-		reply(w, http.StatusOK, map[string]any{"clock_ms": s.clock(), "born": s.born})
-	case "/hold":
-		s.hold(w, r, body)
-	case "/pace":
-		reply(w, http.StatusOK, map[string]any{"clock_ms": s.clock(), "born": s.born})
-	default:
-		w.WriteHeader(http.StatusNotFound)
-	}
-}
-
-func (s *Server) refuse(w http.ResponseWriter, reason string) {
-	reply(w, http.StatusConflict, map[string]any{"clock_ms": s.clock(), "born": s.born, "reason": reason})
-}
-
-func (s *Server) start(w http.ResponseWriter, body orderBody) {
-	key := runKey(body.Task, body.Run)
-	switch {
-	case body.Run <= s.highest[body.Task]:
-		s.refuse(w, "old")
-		return
-	case s.running[key] != nil:
-		reply(w, http.StatusOK, map[string]any{"clock_ms": s.clock(), "born": s.born})
-		return
-	case body.Deadline <= s.clock():
-		s.refuse(w, "late")
-		return
-	}
-	r := &Run{Task: body.Task, Number: body.Run, Server: s.ID, Born: s.born, Start: time.Now()}
-	s.running[key] = r
-	s.Ledger.mu.Lock()
-	s.Ledger.runs = append(s.Ledger.runs, r)
-	s.Ledger.mu.Unlock()
-	s.Ledger.Record.Add("%s starts %s run %d", s.ID, body.Task, body.Run)
-	if s.OnStart != nil {
-		s.OnStart(r)
+	if s.up {
+		s.finish(runKey(task, run), how)
 	}
-	took, how := s.Work(body.Task, body.Run)
-	born := s.born
-	if took > 0 {
-		time.AfterFunc(took, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.up && s.born == born {
-				s.finish(key, how)
-			}
-		})
-	}
-	reply(w, http.StatusOK, map[string]any{"clock_ms": s.clock(), "born": s.born})
-}
-
-func (s *Server) stop(body orderBody) {
-	key := runKey(body.Task, body.Run)
-	if s.running[key] == nil {
-		s.highest[body.Task] = max(s.highest[body.Task], body.Run)
-		return
-	}
-	born := s.born
-	time.AfterFunc(stopTime, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.up && s.born == born {
-			s.finish(key, "stopped")
-		}
-	})
-}
-
-// hold acknowledges ends, waits for one, and lists what runs and what has ended.
-func (s *Server) hold(w http.ResponseWriter, r *http.Request, body orderBody) {
-	s.Ledger.mu.Lock()
-	kept := s.ended[:0:0]
-	for _, e := range s.ended {
-		if e.end > body.Ack {
-			kept = append(kept, e)
-		} else if e.Acked.IsZero() {
-			e.Acked = time.Now()
-		}
-	}
-	s.Ledger.mu.Unlock()
-	s.ended = kept
-	timeout := time.After(time.Duration(min(body.Wait, 2000)) * time.Millisecond)
-	born := s.born
-	for waiting := body.Wait > 0; waiting && len(s.ended) == 0; {
-		changed := s.changed
-		s.mu.Unlock()
-		select {
-		case <-changed:
-		case <-timeout:
-			waiting = false
-		case <-r.Context().Done():
-			waiting = false
-		}
-		s.mu.Lock()
-		if !s.up || s.born != born {
-			return
-		}
-	}
-	running := [][]any{}
-	for _, t := range s.running {
-		percent := 50
-		running = append(running, []any{t.Task, t.Number, "", percent, 100})
-	}
-	ended := [][]any{}
-	for _, e := range s.ended {
-		if len(ended) == endsPerAnswer {
-			break
-		}
-		ended = append(ended, []any{e.end, e.Task, e.Number, e.How, ""})
-	}
-	reply(w, http.StatusOK, map[string]any{"clock_ms": s.clock(), "born": s.born, "running": running, "ended_runs": ended})
-}
-
-// Machines is the platform's machine service, with one machine for each server.
-type Machines struct {
-	Servers []*Server
-}
-
-// ServeHTTP implements http.Handler.
-func (m *Machines) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.HasPrefix(r.URL.Path, "/machines") {
-		reply(w, http.StatusConflict, map[string]any{"reason": "busy"})
-		return
-	}
-	rows := []any{}
-	for _, s := range m.Servers {
-		s.mu.Lock()
-		state := "up"
-		if !s.up {
-			state = "down"
-		}
-		rows = append(rows, map[string]any{
-			"machine": s.Machine, "pool": s.Service, "state": state, "zone": s.Zone, "labels": s.Labels, "capacity": s.Capacity, "id": s.ID,
-		})
-		s.mu.Unlock()
-	}
-	reply(w, http.StatusOK, map[string]any{"machines": rows, "next_token": nil})
 }
-
-// Overlap describes two runs.
-func Overlap(a, b Run) string {
-	return fmt.Sprintf("%s run %d on %s and run %d on %s", a.Task, a.Number, a.Server, b.Number, b.Server)
-}
-
-// Running returns the number of running tasks, for OnStart.
-func (s *Server) Running() int { return len(s.running) }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -8,9 +8,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,8 @@
 	Record  *Record
 	Servers []*Server
 	Daemons []*Daemon
+	// Advisor is the address of the advice service.
+	Advisor string
 
 	dir      string
 	machines *Machines
@@ -41,7 +44,7 @@
 
 	settings string
 	site     *Site
-	cmd      *exec.Cmd
+	process  *os.Process
 }
 
 // NewSite returns a site without servers and daemons. The repository's root is the
@@ -62,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Root: root, Record: record, dir: dir, Store: NewStore(record), client: &http.Client{Timeout: 4 * time.Second}}
+	s := &Site{Root: root, Record: record, dir: dir, Store: NewStore(record), client: &http.Client{Timeout: 4 * time.Second}, Advisor: FreeAddress()}
 	s.Ledger = &Ledger{Record: record}
 	s.machines = &Machines{}
 	if s.storeAt, err = serve(s.Store); err != nil {
@@ -73,7 +76,7 @@
 }
 
 func serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", FreeAddress())
 	if err != nil {
 		return "", err
 	}
@@ -81,14 +84,37 @@
 	return l.Addr().String(), nil
 }
 
-// FreeAddress returns a loopback address with a free port.
+func init() {
+	// The processes get a signal when the thread that started them ends, and this is
+	// the program's first thread, which lasts as long as the program.
+	runtime.LockOSThread()
+}
+
+// host is the loopback address of this program, so that two scripts that run at the
+// same time don't take each other's free ports.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>14&0x7f, os.Getpid()>>7&0x7f, 1+os.Getpid()&0x7f)
+
+var (
+	handedOutMu sync.Mutex
+	handedOut   = map[string]bool{}
+)
+
+// FreeAddress returns an address with a port that is free and wasn't returned before.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	handedOutMu.Lock()
+	defer handedOutMu.Unlock()
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			panic(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !handedOut[address] {
+			handedOut[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // AddServer registers and starts a server behind a proxy, which it returns.
@@ -109,6 +135,8 @@
 type Route struct {
 	Name, Host, Prefix, Service string
 	MaxAttempts                 int
+	// Advice is the queue's policy; nil for none.
+	Advice map[string]int
 }
 
 // Key is the key of the site's only team.
@@ -119,10 +147,14 @@
 	s.version += 3
 	var rows, pools []any
 	for _, r := range routes {
-		rows = append(rows, map[string]any{
+		row := map[string]any{
 			"name": r.Name, "host": r.Host, "path_prefix": r.Prefix, "kind": "non_idempotent", "timeout_ms": 3000,
 			"target_latency_ms": 600, "priority": 1, "service": r.Service, "max_attempts": r.MaxAttempts, "stretch": 1.6, "public": false,
-		})
+		}
+		if r.Advice != nil {
+			row["advice"] = r.Advice
+		}
+		rows = append(rows, row)
 	}
 	for _, name := range services {
 		pools = append(pools, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0, "rejects_overload": false, "spare": false})
@@ -145,7 +177,7 @@
 	}
 	settings := map[string]any{
 		"instance": name, "data_centre": "tr-a", "callers": d.Callers, "readiness": d.Ready, "peers": FreeAddress(), "operations": FreeAddress(),
-		"store": d.Store.Address, "machines": s.cloudAt, "advisor": "127.0.0.1:1", "units": Partitions, "memory_mb": 284, "processor_share": 0.4,
+		"store": d.Store.Address, "machines": s.cloudAt, "advisor": s.Advisor, "units": Partitions, "memory_mb": 284, "processor_share": 0.4,
 		"duties_per_second": 64.0, "lists_per_second": 64.0,
 		"bounds": map[string]any{
 			"max_lease_ms": maxHold, "stop_timeout_ms": 200, "status_kept_s": 120, "grace_s": 6, "move_s": 1.5, "maintenance_s": 2,
@@ -168,24 +200,26 @@
 		return err
 	}
 	defer func() { _ = logFile.Close() }()
-	d.cmd = exec.Command(filepath.Join(d.site.Root, "target", "beryltided"), "fleet")
-	d.cmd.Dir = d.site.Root
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.site.dir, "BERYLTIDE_CONFIG=" + d.settings}
-	d.cmd.Stdout, d.cmd.Stderr = logFile, logFile
-	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return d.cmd.Start()
+	program := filepath.Join(d.site.Root, "target", "beryltided")
+	d.process, err = os.StartProcess(program, []string{program, "fleet"}, &os.ProcAttr{
+		Dir:   d.site.Root,
+		Env:   []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.site.dir, "BERYLTIDE_CONFIG=" + d.settings},
+		Files: []*os.File{nil, logFile, logFile},
+		Sys:   &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL},
+	})
+	return err
 }
 
 // Signal sends a signal to the daemon's process.
 func (d *Daemon) Signal(sig syscall.Signal) {
 	d.site.Record.Add("%s gets signal %d", d.Name, int(sig))
-	_ = d.cmd.Process.Signal(sig)
+	_ = d.process.Signal(sig)
 }
 
 // Kill kills the daemon's process and waits for its end.
 func (d *Daemon) Kill() {
-	_ = d.cmd.Process.Kill()
-	_ = d.cmd.Wait()
+	_ = d.process.Kill()
+	_, _ = d.process.Wait()
 }
 
 // WaitReady waits until all daemons are ready. It returns false after the time-out.
