--- a/review/cmd/held/main.go
+++ b/review/cmd/held/main.go
@@ -14,8 +14,8 @@
 const (
 	host   = "pule25.example"
 	prefix = "/puxa400/"
-	// cutTime is below the 12 s for which the site file cuts machines off.
-	cutTime = 11 * time.Second
+	// cutTime is the time for which the site file cuts the leader off from the store.
+	cutTime = 5500 * time.Millisecond
 	jobs    = 40
 )
 
