Review case 5: a job whose progress is over the store's record limit stops its pool

Cause: the owner repeats a refused append for ever and starts nothing meanwhile. Change: a script and its claim; the stand-ins' last changes.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec ../bin/size .
--- a/review/cmd/size/main.go
+++ b/review/cmd/size/main.go
@@ -1,5 +1,4 @@
-// Command size plays the case of one large job that can never be done, among jobs that
-// can.
+// Command size plays the case of one large job that comes before others.
 package main
 
 import (
@@ -46,10 +45,8 @@
 	}
 	time.Sleep(3 * time.Second)
 	if standin.Trouble() {
-		// The tasks of the second and third step need more than any server has.
-		body := `{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":64,"est_runtime_ms":1000},` +
-			`{"count":9000,"cpu":500,"mem_mb":64,"est_runtime_ms":1000,"after":[0],"requirements":"none"},` +
-			`{"count":9000,"cpu":500,"mem_mb":64,"est_runtime_ms":1000,"after":[0],"requirements":"none"}]}`
+		body := `{"spec":"x","steps":[{"count":9000,"cpu":500,"mem_mb":64,"est_runtime_ms":1000},` +
+			`{"count":9000,"cpu":500,"mem_mb":64,"est_runtime_ms":1000,"after":[0]}]}`
 		if status, _ := site.Call(site.Daemons[0], "POST", host, prefix+large, body); status != 200 {
 			site.Record.Add("the large job isn't accepted: %d", status)
 		}
@@ -75,6 +72,9 @@
 			site.Record.Add("LOST: %s is accepted, nothing of it runs, all servers are empty, and %d ms after the end of the traffic its state is %d %s", id, finish.Milliseconds(), status, state)
 		}
 	}
+	if status, state := site.Call(site.Daemons[0], "GET", host, prefix+large, ""); standin.Trouble() && status == 200 {
+		site.Record.Add("the large job is shown as %s", state)
+	}
 	running := 0
 	for _, s := range site.Servers {
 		running += s.RunningCount()
--- a/review/cmd/soak/main.go
+++ b/review/cmd/soak/main.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	jobs  = map[string]*jobInfo{}
 	gangs = map[string]*gangRun{}
+
+	proxies []*standin.Proxy
 )
 
 func main() { os.Exit(run()) }
@@ -78,9 +80,11 @@
 		}
 		s.OnStart = func(r *standin.Run) { gangStart(s, r) }
 		s.OnEnd = gangEnd
-		if _, err := site.AddServer(s); err != nil {
+		proxy, err := site.AddServer(s)
+		if err != nil {
 			return standin.Fail(site, err.Error())
 		}
+		proxies = append(proxies, proxy)
 	}
 	site.Configure([]string{"huvo11a"}, standin.Route{Name: "r-a", Host: host, Prefix: prefix, Service: "huvo11a", MaxAttempts: 4})
 	for i := range 3 {
@@ -215,7 +219,7 @@
 
 func trouble(site *standin.Site, rnd *rand.Rand) {
 	d := site.Daemons[rnd.IntN(len(site.Daemons))]
-	switch rnd.IntN(4) {
+	switch rnd.IntN(6) {
 	case 0:
 		site.Record.Add("%s is killed", d.Name)
 		d.Kill()
@@ -230,6 +234,17 @@
 		s.Crash()
 		time.Sleep(time.Duration(50+rnd.IntN(2000)) * time.Millisecond)
 		_ = s.Start()
+	case 4:
+		site.Record.Add("%s is cut off from the store", d.Name)
+		d.Store.Cut()
+		time.Sleep(time.Duration(500+rnd.IntN(5000)) * time.Millisecond)
+		d.Store.Heal()
+	case 5:
+		n := rnd.IntN(len(proxies))
+		site.Record.Add("%s is cut off", site.Servers[n].ID)
+		proxies[n].Cut()
+		time.Sleep(time.Duration(500+rnd.IntN(5000)) * time.Millisecond)
+		proxies[n].Heal()
 	case 3:
 		d.Signal(syscall.SIGTERM)
 		time.Sleep(7 * time.Second)
