Owner: a run is lost only if all ends have been listed

Cause: an instance lists at most 500 ends. The owner ended every recorded run that was in neither list as lost, also when the list of ends was a full page.

The check for runs of a former incarnation reads the same mark.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,6 +102,9 @@
 	Incarnation int64
 	Running     []RunningTask
 	Ended       []EndedTask
+	// MoreEnds means that Ended may lack later ends: a run in neither list isn't
+	// known to be gone.
+	MoreEnds bool
 	// Unreadable is the number of rows that don't name a task of this program.
 	Unreadable int
 }
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -31,6 +31,8 @@
 	cancelBound   = 3 * time.Second
 	drainBound    = 2 * time.Second
 	evacuateBound = 5 * time.Second
+	// endsPerListing is how many ends a listing holds at most.
+	endsPerListing = 500
 	// confirmEvery is how often a daemon confirms that its view of the fleet is
 	// current.
 	confirmEvery = 400 * time.Millisecond
@@ -459,7 +461,7 @@
 		}
 	}
 	i.ended = kept
-	listing := instance.Listing{Clock: i.clock(), Incarnation: i.incarnation, Ended: append([]instance.EndedTask(nil), kept...)}
+	listing := instance.Listing{Clock: i.clock(), Incarnation: i.incarnation, Ended: append([]instance.EndedTask(nil), kept[:min(len(kept), endsPerListing)]...), MoreEnds: len(kept) >= endsPerListing}
 	for id, r := range i.runs {
 		listing.Running = append(listing.Running, instance.RunningTask{Task: id, Run: r.run, Percent: r.percent(), Load: i.load})
 	}
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -31,7 +31,10 @@
 		u.planDue = true
 	}
 	u.applyEnds(sess, l.Ended, now)
-	u.applyRunning(sess, l.Running, sent, now)
+	u.applyRunning(sess, l.Running, now)
+	if !l.MoreEnds {
+		u.endUnlisted(sess, l.Running, sent, now)
+	}
 	u.throttleBackfill(sess, l.Running, now)
 	if sess.lastApplied > sess.lastRecorded {
 		u.acknowledge(sess, sess.lastApplied, sess.incarnation)
@@ -63,7 +66,7 @@
 	sess.incarnation = l.Incarnation
 	for id, r := range sess.runs {
 		placement := u.placement(id)
-		if placement.Incarnation == l.Incarnation || r.resolvedAt.IsZero() || listsRun(l, id, r.number) {
+		if placement.Incarnation == l.Incarnation || r.resolvedAt.IsZero() || l.MoreEnds || listsRun(l, id, r.number) {
 			continue
 		}
 		u.Logger.Info("run.lost_with_instance", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID))
@@ -168,13 +171,11 @@
 	}
 }
 
-// applyRunning reconciles the listed runs with the recorded ones: it stops runs
-// that aren't recorded, and ends recorded runs that aren't listed.
-func (u *Unit) applyRunning(sess *session, running []instance.RunningTask, sent, now time.Time) {
-	isListed := make(map[job.TaskID]bool, len(running))
+// applyRunning updates the recorded runs that are listed as running, and stops
+// listed runs that aren't recorded.
+func (u *Unit) applyRunning(sess *session, running []instance.RunningTask, now time.Time) {
 	sess.strays = 0
 	for _, t := range running {
-		isListed[t.Task] = true
 		r := sess.runs[t.Task]
 		if r == nil || r.number != t.Run {
 			sess.strays++
@@ -183,6 +184,16 @@
 		}
 		u.updateProgress(sess, r, t, now)
 	}
+}
+
+// endUnlisted ends the recorded runs that are in neither list, once all ends have
+// been listed. A start that may have been under way when the poll was sent is left
+// to the next one.
+func (u *Unit) endUnlisted(sess *session, running []instance.RunningTask, sent, now time.Time) {
+	isListed := make(map[job.TaskID]bool, len(running))
+	for _, t := range running {
+		isListed[t.Task] = true
+	}
 	for id, r := range sess.runs {
 		if isListed[id] || r.resolvedAt.IsZero() || !r.resolvedAt.Before(sent) {
 			continue
