Jobs are found, and stay one job, after their queue has moved to another pool

Cause: a job is kept in the unit of the pool that its queue had when it was accepted, and every daemon looked in the unit of the pool that the queue has now. Nothing recorded which other units had taken jobs of the queue.

The new tests with the admission taken out:

TestJobOfAMovedQueueStaysOneJob: <nil> != [1] TestJobInTwoUnitsAtOnceRunsInOne: 4 != 2 TestJobWaitsForAnAnswerOfTheOtherUnit: 1 != 0 TestCancellationReachesTheUnitThatHasTheJob: running != cancelled TestWaitingNamesTheOtherUnits: <nil> != [1]

Why this works: an owner adds its unit to the queue's units in the store, under a condition, before it starts the queue's first job; so of two units the one added later knows the other and asks it for each new job, which in turn makes the first one ask for whatever it reads from then on. Each asks after it has read its partition to the end, so at least one of two sees the other's copy; if both wait, the unit with the lower number decides last. Lookups, counts and cancellations name the queue by host and prefix and go to all its units. A cancellation whose lookup failed is passed on by the owner that reads it.

Related: a queue that comes back under another name was answered 410 too. Daemons of the earlier version send no route; they are answered as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -33,6 +33,10 @@
 	Advised bool
 }
 
+// Route returns the host and path prefix of the queue's requests. They name the queue
+// to callers, whatever operators call it.
+func (q *Queue) Route() string { return q.Host + q.Prefix }
+
 // Pool is a set of instances that run the tasks of its queues.
 type Pool struct {
 	Name string
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/beryltide/beryltide/internal/owner"
 	"github.com/beryltide/beryltide/internal/ownerrpc"
 	"github.com/beryltide/beryltide/internal/ownership"
+	"github.com/beryltide/beryltide/internal/queueunits"
 	"github.com/beryltide/beryltide/internal/registry"
 	"github.com/beryltide/beryltide/internal/store"
 	"github.com/beryltide/beryltide/internal/unitmap"
@@ -104,6 +105,7 @@
 	peers    *ownerrpc.Client
 	pools    *unitmap.Map
 	units    *units
+	owners   *poolOwners
 	service  *intake.Service
 	outage   *outage
 	stopping chan struct{}
@@ -137,7 +139,9 @@
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	defer cancelWork()
 	unitOf := d.pools.Of
+	d.owners = &poolOwners{peers: d.peers, member: d.member, unitOf: unitOf}
 	d.units = newUnits(workCtx, d.deps(unitOf), d.fleetController())
+	d.owners.units = d.units
 	d.service = &intake.Service{
 		Log: d.log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Logger: d.logger,
 	}
@@ -175,7 +179,8 @@
 func (d *Daemon) deps(unitOf func(string) int) owner.Deps {
 	b := d.settings.Bounds
 	return owner.Deps{
-		Log: d.log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, View: d.view, Clock: d.ports.Clock,
+		Log: d.log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, Peers: d.owners, View: d.view, Clock: d.ports.Clock,
+		QueueUnits: queueunits.New(d.log, d.ports.Clock),
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Move:   seconds(b.MoveS) + registryReadInterval,
@@ -201,9 +206,8 @@
 			case <-time.After(fleetUnitCheckInterval):
 			}
 		}
-		owners := &poolOwners{units: d.units, peers: d.peers, member: d.member, unitOf: d.pools.Of}
 		c := &maintenance.Controller{
-			Log: d.log, Machines: d.ports.Machines, Owners: owners, View: d.view, Clock: d.ports.Clock,
+			Log: d.log, Machines: d.ports.Machines, Owners: d.owners, View: d.view, Clock: d.ports.Clock,
 			Logger: d.logger, Tenure: t, Holds: d.member.HoldsWithin, Name: d.settings.Instance,
 			OrderLimiter: rate.NewLimiter(rate.Limit(orderRateShare*d.settings.DutiesPerSecond), orderBurst),
 			Handover:     maintenance.OrderGrace + millis(d.settings.Bounds.DutyLeaseMS),
--- a/internal/fleetd/poolowners.go
+++ b/internal/fleetd/poolowners.go
@@ -15,8 +15,8 @@
 // errNoOwner is returned if a pool's owner isn't known or gave no result.
 var errNoOwner = errors.New("the pool's owner isn't known or gave no result")
 
-// poolOwners calls the owners of pools, in this process or another. It implements
-// maintenance.PoolOwners and is safe for concurrent use.
+// poolOwners calls the owners of pools and units, in this process or another. It
+// implements maintenance.PoolOwners and owner.Peers, and is safe for concurrent use.
 type poolOwners struct {
 	units  ownerrpc.Units
 	peers  *ownerrpc.Client
@@ -60,6 +60,22 @@
 	return maintenance.Report{Demand: reply.Demand, Uses: reply.Uses, Owner: reply.Owner}, err
 }
 
+// Standings implements owner.Peers.
+func (p *poolOwners) Standings(ctx context.Context, unit int, q owner.StandingQuery) (map[string]owner.Standing, error) {
+	req := ownerrpc.StandingsRequest{Unit: unit, Query: q}
+	var reply ownerrpc.StandingsReply
+	err := p.call(ctx, unit, func(address string) error {
+		var err error
+		if address == "" {
+			reply = ownerrpc.Standings(ctx, p.units, req)
+		} else {
+			reply, err = p.peers.Standings(ctx, address, req)
+		}
+		return err
+	})
+	return reply.Standings, p.recordResult(unit, reply.Code, err)
+}
+
 // call invokes do with the address of a unit's owner, or "" if the unit is owned by
 // this daemon.
 func (p *poolOwners) call(ctx context.Context, unit int, do func(address string) error) error {
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -31,13 +31,13 @@
 	ownerFirstPeriod = time.Second
 )
 
-// appendWithRetry stores a record, with retries until the context ends. It
-// returns ErrNotRun only if no attempt may have taken effect, and ErrMayRun
+// appendWithRetry stores a record in the partition of a unit, which is looked up for
+// each attempt, with retries until the context ends. It returns ErrNotRun only if no attempt may have taken effect, and ErrMayRun
 // otherwise.
-func (s *Service) appendWithRetry(ctx context.Context, pool string, r store.Record) error {
+func (s *Service) appendWithRetry(ctx context.Context, unitOf func() int, r store.Record) error {
 	uncertain := false
 	for {
-		unit := s.UnitOf(pool)
+		unit := unitOf()
 		if unit == unitmap.None {
 			if uncertain {
 				return errors.Wrap(ErrMayRun, "the pool has lost its unit")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -94,58 +94,93 @@
 	if err != nil {
 		return errors.Wrap(ErrNotRun, err.Error())
 	}
-	return s.appendWithRetry(ctx, sub.Pool, store.Record{Key: owner.SubmissionPrefix + sub.ID, Value: data})
+	return s.appendWithRetry(ctx, func() int { return s.UnitOf(sub.Pool) }, store.Record{Key: owner.SubmissionPrefix + sub.ID, Value: data})
 }
 
 // State returns a job's state. It returns ErrNoJob if the queue has no such job,
-// and ErrUnavailable if the job's owner didn't answer.
+// and ErrUnavailable if the owner of a unit that may have it didn't answer.
 func (s *Service) State(ctx context.Context, q *catalog.Queue, id string) (job.State, error) {
+	state, _, err := s.find(ctx, q, id)
+	return state, err
+}
+
+// find returns a job's state and the unit that has it: that of the queue's pool, or of
+// a pool to which the queue was sent before.
+func (s *Service) find(ctx context.Context, q *catalog.Queue, id string) (job.State, int, error) {
 	unit := s.UnitOf(q.Pool)
-	var reply ownerrpc.JobReply
-	err := s.callOwner(ctx, unit, func(address string) (ownerrpc.Code, error) {
+	reply, err := s.job(ctx, ownerrpc.JobRequest{Unit: unit, Route: q.Route(), ID: id})
+	if !errors.Is(err, ErrNoJob) {
+		return reply.State, unit, err
+	}
+	for _, other := range reply.Others {
+		reply, otherErr := s.job(ctx, ownerrpc.JobRequest{Unit: other, Route: q.Route(), ID: id})
+		if otherErr == nil {
+			return reply.State, other, nil
+		}
+		if !errors.Is(otherErr, ErrNoJob) {
+			err = otherErr
+		}
+	}
+	return "", unit, err
+}
+
+// job asks a unit's owner for a job.
+func (s *Service) job(ctx context.Context, req ownerrpc.JobRequest) (reply ownerrpc.JobReply, err error) {
+	err = s.callOwner(ctx, req.Unit, func(address string) (ownerrpc.Code, error) {
 		var err error
 		if address == "" {
-			reply = ownerrpc.Job(ctx, s.Units, ownerrpc.JobRequest{Unit: unit, ID: id})
+			reply = ownerrpc.Job(ctx, s.Units, req)
 		} else {
-			reply, err = s.Peers.Job(ctx, address, ownerrpc.JobRequest{Unit: unit, ID: id})
+			reply, err = s.Peers.Job(ctx, address, req)
 		}
 		return reply.Code, err
 	})
-	if err != nil {
-		return "", err
-	}
-	if reply.Queue != q.Name {
-		return "", ErrNoJob
-	}
-	return reply.State, nil
+	return reply, err
 }
 
 // Waiting returns how many accepted jobs of a queue haven't started.
 func (s *Service) Waiting(ctx context.Context, q *catalog.Queue) (int, error) {
-	unit := s.UnitOf(q.Pool)
-	var reply ownerrpc.QueueReply
-	err := s.callOwner(ctx, unit, func(address string) (ownerrpc.Code, error) {
+	reply, err := s.queue(ctx, ownerrpc.QueueRequest{Unit: s.UnitOf(q.Pool), Queue: q.Name, Route: q.Route()})
+	waiting := reply.Waiting
+	for _, other := range reply.Others {
+		if err != nil {
+			break
+		}
+		reply, err = s.queue(ctx, ownerrpc.QueueRequest{Unit: other, Queue: q.Name, Route: q.Route()})
+		waiting += reply.Waiting
+	}
+	return waiting, err
+}
+
+// queue asks a unit's owner for a queue.
+func (s *Service) queue(ctx context.Context, req ownerrpc.QueueRequest) (reply ownerrpc.QueueReply, err error) {
+	err = s.callOwner(ctx, req.Unit, func(address string) (ownerrpc.Code, error) {
 		var err error
 		if address == "" {
-			reply = ownerrpc.Queue(ctx, s.Units, ownerrpc.QueueRequest{Unit: unit, Queue: q.Name})
+			reply = ownerrpc.Queue(ctx, s.Units, req)
 		} else {
-			reply, err = s.Peers.Queue(ctx, address, ownerrpc.QueueRequest{Unit: unit, Queue: q.Name})
+			reply, err = s.Peers.Queue(ctx, address, req)
 		}
 		return reply.Code, err
 	})
-	return reply.Waiting, err
+	return reply, err
 }
 
-// Cancel cancels a job. It returns ErrNoJob only if the job's owner reports that
-// no such job exists.
+// Cancel cancels a job. It returns ErrNoJob only if the owners of all units that may
+// have the job report that it doesn't exist. If an owner doesn't answer, the
+// cancellation goes to the unit of the queue's pool, which passes it on.
 func (s *Service) Cancel(ctx context.Context, q *catalog.Queue, id string) error {
 	lookup, cancel := context.WithTimeout(ctx, cancelLookupTimeout)
-	_, err := s.State(lookup, q, id)
+	_, unit, err := s.find(lookup, q, id)
 	cancel()
 	if errors.Is(err, ErrNoJob) {
 		return err
 	}
-	return s.appendWithRetry(ctx, q.Pool, store.Record{Key: owner.CancelPrefix + id, Value: []byte{1}})
+	unitOf := func() int { return s.UnitOf(q.Pool) }
+	if err == nil {
+		unitOf = func() int { return unit }
+	}
+	return s.appendWithRetry(ctx, unitOf, store.Record{Key: owner.CancelPrefix + id, Value: []byte(q.Route())})
 }
 
 // callOwner calls a unit's current owner, with retries; call's address is "" if
--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -97,6 +97,8 @@
 type Submission struct {
 	ID    string
 	Queue string
+	// Route is the host and path prefix of the queue's requests.
+	Route string
 	Pool  string
 	// Team is empty for queues that are open to all.
 	Team    string
@@ -120,6 +122,15 @@
 	maxStepTasks = 10_000
 )
 
+// QueueRoute returns the route that names the queue to callers. Submissions stored by
+// earlier versions have none, and are named by their queue.
+func (s *Submission) QueueRoute() string {
+	if s.Route == "" {
+		return s.Queue
+	}
+	return s.Route
+}
+
 // Work returns the estimated work of one occurrence, in core-seconds.
 func (s *Submission) Work() float64 {
 	var work float64
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/pause"
+	"github.com/beryltide/beryltide/internal/queueunits"
 	"github.com/beryltide/beryltide/internal/store"
 )
 
@@ -26,6 +27,9 @@
 	testQueue = "previews"
 	testTeam  = "vets"
 	testUnit  = 1
+	// otherPool and otherUnit are those of a second owner.
+	otherPool = "engraving"
+	otherUnit = 2
 	maxLease  = 10 * time.Second
 
 	cancelBound   = 3 * time.Second
@@ -46,17 +50,20 @@
 	mu        sync.Mutex
 	instances map[string]*fakeInstance
 	catalog   *catalog.Catalog
-	cancel    context.CancelFunc
-	ctx       context.Context
+	// owners holds the newest owner of each unit.
+	owners map[int]*daemon
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 func newCluster(t *testing.T, instances int) *cluster {
-	c := &cluster{t: t, startedAt: time.Now(), store: memstore.New(3), instances: map[string]*fakeInstance{}}
+	c := &cluster{t: t, startedAt: time.Now(), store: memstore.New(3), instances: map[string]*fakeInstance{}, owners: map[int]*daemon{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	t.Cleanup(c.cancel)
 	c.catalog = catalog.New(1)
 	c.catalog.AddQueue(&catalog.Queue{Name: testQueue, Pool: testPool, MaxFailures: 3, Stretch: 2, TargetLatency: time.Second})
 	c.catalog.Pools[testPool] = &catalog.Pool{Name: testPool}
+	c.catalog.Pools[otherPool] = &catalog.Pool{Name: otherPool}
 	c.catalog.AddTeam(&catalog.Team{Name: testTeam, Limit: job.Resources{CPU: 100_000}}, nil)
 	for i := range instances {
 		id := fmt.Sprintf("i-%d", i)
@@ -86,19 +93,32 @@
 	pacePercents  []int
 }
 
-// startOwner starts an owner with an epoch.
-func (c *cluster) startOwner(epoch int64) *daemon {
+// startOwner starts an owner of testUnit with an epoch.
+func (c *cluster) startOwner(epoch int64) *daemon { return c.startOwnerOf(testUnit, epoch) }
+
+func unitOf(pool string) int {
+	if pool == otherPool {
+		return otherUnit
+	}
+	return testUnit
+}
+
+// startOwnerOf starts an owner of a unit with an epoch.
+func (c *cluster) startOwnerOf(unit int, epoch int64) *daemon {
 	d := &daemon{cluster: c, log: c.store.Client(), held: true, unreachable: map[string]bool{}, view: c.view()}
 	deps := Deps{
 		Log: d.log, Instances: d, Advisor: d, View: d.view, Clock: c.clock,
 		Bounds: Bounds{MaxLease: maxLease, StatusKept: time.Minute, Cancel: cancelBound, Drain: drainBound, Evacuate: evacuateBound},
 		Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope),
-		UnitOf: func(string) int { return testUnit }, InUse: func(int) bool { return true },
+		Peers: d, QueueUnits: queueunits.New(d.log, c.clock), UnitOf: unitOf, InUse: func(int) bool { return true },
 		Holds:  func(ownership.Tenure) bool { return d.holds() },
 		Sole:   func(ownership.Tenure) bool { return d.sole() },
 		GiveUp: func(ownership.Tenure) { d.setHeld(false) },
 	}
-	d.unit = New(c.ctx, deps, ownership.Tenure{Unit: testUnit, Epoch: epoch})
+	d.unit = New(c.ctx, deps, ownership.Tenure{Unit: unit, Epoch: epoch})
+	c.mu.Lock()
+	c.owners[unit] = d
+	c.mu.Unlock()
 	go d.confirmView()
 	go d.unit.Run()
 	return d
@@ -178,7 +198,7 @@
 	var records []store.Record
 	for id, i := range c.instances {
 		value, err := json.Marshal(instance.Registration{
-			ID: id, Pool: testPool, Address: id, Draining: i.draining, Capacity: job.Resources{CPU: 4000, Memory: 8000}, Incarnation: i.incarnation,
+			ID: id, Pool: i.pool, Address: id, Draining: i.draining, Capacity: job.Resources{CPU: 4000, Memory: 8000}, Incarnation: i.incarnation,
 		})
 		if err != nil {
 			c.t.Fatal(err)
@@ -190,16 +210,23 @@
 
 // submit stores a job as the daemon that accepts it does.
 func (c *cluster) submit(id string, steps ...job.Step) {
-	s := &job.Submission{ID: id, Queue: testQueue, Pool: testPool, Steps: steps, AcceptedAt: time.Now().UnixMilli()}
+	c.submitTo(testPool, id, steps...)
+}
+
+// submitTo stores a job in the unit of a pool.
+func (c *cluster) submitTo(pool, id string, steps ...job.Step) {
+	s := &job.Submission{ID: id, Queue: testQueue, Pool: pool, Steps: steps, AcceptedAt: time.Now().UnixMilli()}
 	data, err := job.EncodeSubmission(s)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.append(SubmissionPrefix+id, data)
+	c.appendTo(unitOf(pool), SubmissionPrefix+id, data)
 }
 
-func (c *cluster) append(key string, value []byte) {
-	err := c.store.Client().Append(c.ctx, ownership.Topic, testUnit, []store.Record{{Key: key, Value: value}}, nil)
+func (c *cluster) append(key string, value []byte) { c.appendTo(testUnit, key, value) }
+
+func (c *cluster) appendTo(unit int, key string, value []byte) {
+	err := c.store.Client().Append(c.ctx, ownership.Topic, unit, []store.Record{{Key: key, Value: value}}, nil)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -208,11 +235,11 @@
 func (d *daemon) state(id string) job.State {
 	ctx, cancel := context.WithTimeout(d.cluster.ctx, time.Second)
 	defer cancel()
-	state, _, err := d.unit.State(ctx, id)
+	status, err := d.unit.State(ctx, id, testQueue)
 	if err != nil {
 		return job.State(err.Error())
 	}
-	return state
+	return status.State
 }
 
 // The daemon's calls to instances fail where it can't reach them.
@@ -265,6 +292,21 @@
 	return i.stop(s)
 }
 
+// Standings asks the owner of a unit, unless that unit is unreachable.
+func (d *daemon) Standings(ctx context.Context, unit int, q StandingQuery) (map[string]Standing, error) {
+	d.mu.Lock()
+	unreachable := d.unreachable[fmt.Sprint(unit)]
+	d.mu.Unlock()
+	d.cluster.mu.Lock()
+	owner := d.cluster.owners[unit]
+	d.cluster.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if unreachable || owner == nil {
+		return nil, ErrNotReady
+	}
+	return owner.unit.Standings(ctx, q)
+}
+
 // Advise allows only i-0.
 func (d *daemon) Advise(_ context.Context, _ StepID, instances []string) (Advice, error) {
 	time.Sleep(20 * time.Millisecond)
@@ -303,6 +345,7 @@
 type fakeInstance struct {
 	mu            sync.Mutex
 	id            string
+	pool          string
 	clockStart    time.Time
 	incarnation   int64
 	fence         int64
@@ -353,7 +396,7 @@
 
 func newFakeInstance(id string, began time.Time) *fakeInstance {
 	return &fakeInstance{
-		id: id, clockStart: began, incarnation: began.UnixMilli(), runs: map[job.TaskID]*fakeRun{}, lastRun: map[job.TaskID]int{}, done: map[job.TaskID]int{},
+		id: id, pool: testPool, clockStart: began, incarnation: began.UnixMilli(), runs: map[job.TaskID]*fakeRun{}, lastRun: map[job.TaskID]int{}, done: map[job.TaskID]int{},
 		duration: 300 * time.Millisecond, outcome: job.EndDone,
 	}
 }
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -38,30 +38,46 @@
 	}
 }
 
-// State returns a job's recorded state and its queue. It returns ErrNoJob only
-// after the unit has been read to the end that it had when the call came.
-func (u *Unit) State(ctx context.Context, id string) (job.State, string, error) {
-	state, queue, err := u.lookUp(ctx, id)
+// Status is what a unit knows of a job.
+type Status struct {
+	// State is the recorded state, Queue the queue's name when the job was accepted.
+	State job.State
+	Queue string
+	// Others are the other units that may have the job, if this one doesn't.
+	Others []int
+}
+
+// State returns a job's status, if it is a job of the queue with the given route; an
+// empty route stands for any. It returns ErrNoJob only after the unit has been read to
+// the end that it had when the call came.
+func (u *Unit) State(ctx context.Context, id, route string) (Status, error) {
+	status, err := u.lookUp(ctx, id, route)
 	if !errors.Is(err, ErrNoJob) {
-		return state, queue, err
+		return status, err
 	}
 	if err := u.readToEnd(ctx); err != nil {
 		u.Logger.Debug("unit.not_read", zap.String("job", id), zap.Error(err))
-		return "", "", ErrNotReady
+		return Status{}, ErrNotReady
+	}
+	status, err = u.lookUp(ctx, id, route)
+	if !errors.Is(err, ErrNoJob) {
+		return status, err
+	}
+	if u.learnOthers(ctx, route, u.Clock()-queueUnitsAge) != nil {
+		return Status{}, ErrNotReady
 	}
-	return u.lookUp(ctx, id)
+	return Status{Others: u.others(route)}, err
 }
 
-// lookUp returns a job's recorded state and queue from the records merged so
-// far.
-func (u *Unit) lookUp(ctx context.Context, id string) (state job.State, queue string, err error) {
+// lookUp returns a job's status from the records merged so far.
+func (u *Unit) lookUp(ctx context.Context, id, route string) (status Status, err error) {
 	callErr := u.do(ctx, func() {
 		if !u.holds() || !u.loaded {
 			err = ErrNotReady
 			return
 		}
-		if e := u.jobs[id]; e != nil {
-			state, queue = e.recordedState, e.job.Submission.Queue
+		if e := u.jobs[id]; e != nil && (route == "" || e.job.Submission.QueueRoute() == route) {
+			status = Status{State: e.recordedState, Queue: e.job.Submission.Queue}
 			return
 		}
 		if _, unreadable := u.unreadable[id]; unreadable {
@@ -71,26 +87,32 @@
 		err = ErrNoJob
 	})
 	if callErr != nil {
-		return "", "", callErr
+		return Status{}, callErr
 	}
-	return state, queue, err
+	return status, err
 }
 
-// Waiting returns how many of a queue's accepted jobs have no recorded start.
-func (u *Unit) Waiting(ctx context.Context, queue string) (waiting int, err error) {
+// Waiting returns how many of the accepted jobs of the queue with the given name or
+// route have no recorded start, and the other units that may have such jobs.
+func (u *Unit) Waiting(ctx context.Context, queue, route string) (waiting int, others []int, err error) {
 	callErr := u.do(ctx, func() {
 		if !u.holds() {
 			err = ErrNotReady
 			return
 		}
 		for _, e := range u.active {
-			if e.job.Submission.Queue == queue && !e.startRecorded && e.job.Active() {
+			sub := e.job.Submission
+			if (sub.QueueRoute() == route || sub.Queue == queue) && !e.startRecorded && e.job.Active() {
 				waiting++
 			}
 		}
 	})
 	if callErr != nil {
-		return 0, callErr
+		return 0, nil, callErr
+	}
+	// While the store doesn't answer, the units known so far are the best answer.
+	if unread := u.learnOthers(ctx, route, u.Clock()-queueUnitsAge); unread != nil {
+		u.Logger.Debug("queue.units_unread", zap.Error(unread))
 	}
-	return waiting, err
+	return waiting, u.others(route), err
 }
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -48,6 +48,7 @@
 		switch {
 		case !e.job.Active():
 			delete(u.active, id)
+		case e.unadmitted:
 		case e.job.Timed() && now.Before(e.nextDue) && !e.job.Started():
 		default:
 			u.collectCandidates(e, c, now, byPool)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -34,7 +34,10 @@
 	var records []store.Record
 	var from int64
 	ok := u.retry("read", func() error {
-		var err error
+		err := u.QueueUnits.Refresh(u.ctx, u.takenOverAt)
+		if err != nil {
+			return err
+		}
 		records, from, err = store.ReadNewest(u.ctx, u.Log, ownership.Topic, u.tenure.Unit)
 		return err
 	})
@@ -108,8 +111,10 @@
 	}
 	data, found := progress[e.job.ID()]
 	if !found {
+		u.requestAdmission(e)
 		return
 	}
+	u.addToQueue(e.job.Submission.QueueRoute())
 	if err := e.job.Restore(data, now); err != nil {
 		// A job whose progress can't be read must not run again, also when its
 		// submission is read again.
@@ -202,9 +207,12 @@
 	switch {
 	case len(r.Value) == 0:
 	case strings.HasPrefix(r.Key, SubmissionPrefix):
-		u.addSubmission(r, now)
+		if e := u.addSubmission(r, now); e != nil {
+			u.requestAdmission(e)
+			u.applyEarlyCancel(e)
+		}
 	case strings.HasPrefix(r.Key, CancelPrefix):
-		u.applyCancel(strings.TrimPrefix(r.Key, CancelPrefix), now)
+		u.applyCancel(strings.TrimPrefix(r.Key, CancelPrefix), r.Value)
 	}
 }
 
@@ -222,18 +230,26 @@
 		return nil
 	}
 	delete(u.unreadable, id)
+	if c := u.View.Catalog(); s.Route == "" && c != nil && c.Queues[s.Queue] != nil {
+		// An earlier version stored it.
+		s.Route = c.Queues[s.Queue].Route()
+	}
 	e := newEntry(s)
 	u.addEntry(e)
 	u.observeWork(e)
 	u.observeArrival(e, now)
-	if u.earlyCancels[id] {
-		delete(u.earlyCancels, id)
-		u.cancelJob(e)
-	}
 	u.planDue = true
 	return e
 }
 
+// applyEarlyCancel cancels a job whose cancellation was read before it.
+func (u *Unit) applyEarlyCancel(e *entry) {
+	if u.earlyCancels[e.job.ID()] {
+		delete(u.earlyCancels, e.job.ID())
+		u.cancelJob(e)
+	}
+}
+
 // addEntry adds a job to those that the unit keeps.
 func (u *Unit) addEntry(e *entry) {
 	u.jobs[e.job.ID()] = e
@@ -254,16 +270,25 @@
 	return e
 }
 
-func (u *Unit) applyCancel(id string, _ time.Time) {
+// applyCancel applies a cancellation whose value is the route of the queue that it was
+// sent to, or another byte if a unit has passed it on.
+func (u *Unit) applyCancel(id string, value []byte) {
 	e := u.jobs[id]
 	if e == nil {
 		u.earlyCancels[id] = true
+		if len(value) > 1 {
+			u.passCancelOn(id, string(value))
+		}
 		return
 	}
 	u.cancelJob(e)
 }
 
 func (u *Unit) cancelJob(e *entry) {
+	if e.unadmitted {
+		e.cancelRequested = true
+		return
+	}
 	if !e.job.Cancel() {
 		return
 	}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -19,6 +19,7 @@
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/pause"
+	"github.com/beryltide/beryltide/internal/queueunits"
 	"github.com/beryltide/beryltide/internal/schedule"
 	"github.com/beryltide/beryltide/internal/store"
 )
@@ -72,7 +73,10 @@
 	Log       store.Log
 	Instances instance.Client
 	Advisor   Advisor
-	View      *fleetview.View
+	Peers     Peers
+	// QueueUnits holds the units that have taken jobs of each queue.
+	QueueUnits *queueunits.Map
+	View       *fleetview.View
 	// Clock is a monotonic clock that also counts suspended time.
 	Clock  bootclock.Clock
 	Bounds Bounds
@@ -117,7 +121,9 @@
 	// unreadable holds the IDs of accepted jobs of which a record can't be read, and
 	// whether tasks of them may have run.
 	unreadable map[string]bool
-	loaded     bool
+	// checkingQueues holds the routes of queues whose other units are being asked.
+	checkingQueues map[string]bool
+	loaded         bool
 	// mergedOffset is the offset up to which records have been merged.
 	mergedOffset int64
 	// caughtUpAt is when the unit was last known to be read to its end, on the
@@ -156,6 +162,10 @@
 // entry is a job with the unit's own data about it.
 type entry struct {
 	job *job.Job
+	// unadmitted jobs may be held by another unit and don't start yet.
+	unadmitted bool
+	// cancelRequested is set if such a job was cancelled meanwhile.
+	cancelRequested bool
 	// recordedState is the state in the store, the only one that callers see.
 	recordedState job.State
 	// startRecorded reports that a start of the job was recorded.
@@ -178,7 +188,7 @@
 	u := &Unit{
 		Deps: deps, tenure: tenure,
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
-		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
+		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, checkingQueues: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
 		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*arrivals{}, workByQueue: map[string]*queueWork{},
 		maintenanceDue: map[string]map[string]bool{},
 	}
--- a/internal/ownerrpc/client.go
+++ b/internal/ownerrpc/client.go
@@ -44,6 +44,11 @@
 	return call[QueueReply](ctx, c, callTimeout, address, "Queue", req)
 }
 
+// Standings calls Server.Standings of the owner at an address.
+func (c *Client) Standings(ctx context.Context, address string, req StandingsRequest) (StandingsReply, error) {
+	return call[StandingsReply](ctx, c, callTimeout, address, "Standings", req)
+}
+
 // Release calls Server.Release of the owner at an address.
 func (c *Client) Release(ctx context.Context, address string, req ReleaseRequest) (ReleaseReply, error) {
 	return call[ReleaseReply](ctx, c, callTimeout, address, "Release", req)
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -47,24 +47,30 @@
 	NotOwner
 )
 
-// JobRequest names a job.
+// JobRequest names a job by a unit, the route of its queue and its ID. Earlier versions
+// send no route and compare the reply's queue.
 type JobRequest struct {
-	Unit int
-	ID   string
+	Unit  int
+	Route string
+	ID    string
 }
 
-// JobReply is a job's state and queue. Except for Code, the fields of replies are
-// valid only with the code OK.
+// JobReply is a job's state and queue. Except for Code, and Others in JobReply, the
+// fields of replies are valid only with the code OK.
 type JobReply struct {
 	Code  Code
 	State job.State
 	Queue string
+	// Others are the other units that may have the job, with the code NoJob.
+	Others []int
 }
 
-// QueueRequest names a queue by its unit and name.
+// QueueRequest names a queue by a unit, its name and its route, which earlier versions
+// don't send.
 type QueueRequest struct {
 	Unit  int
 	Queue string
+	Route string
 }
 
 // QueueReply is the state of a queue.
@@ -72,6 +78,20 @@
 	Code Code
 	// Waiting is the number of accepted jobs that haven't started.
 	Waiting int
+	// Others are the other units that may have jobs of the queue.
+	Others []int
+}
+
+// StandingsRequest asks a unit for jobs that another unit has read.
+type StandingsRequest struct {
+	Unit  int
+	Query owner.StandingQuery
+}
+
+// StandingsReply holds standings by job; jobs that the unit doesn't have are left out.
+type StandingsReply struct {
+	Code      Code
+	Standings map[string]owner.Standing
 }
 
 // ReleaseRequest names instances of a unit's pool.
@@ -213,6 +233,14 @@
 	return nil
 }
 
+// Standings returns how far a unit has got with jobs.
+func (s *Server) Standings(req StandingsRequest, reply *StandingsReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	*reply = Standings(ctx, s.units, req)
+	return nil
+}
+
 // Release cordons and drains instances, and returns those that are empty.
 func (s *Server) Release(req ReleaseRequest, reply *ReleaseReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -259,8 +287,8 @@
 	if u == nil {
 		return JobReply{Code: NotOwner}
 	}
-	state, queue, err := u.State(ctx, req.ID)
-	return JobReply{Code: codeOf(err), State: state, Queue: queue}
+	status, err := u.State(ctx, req.ID, req.Route)
+	return JobReply{Code: codeOf(err), State: status.State, Queue: status.Queue, Others: status.Others}
 }
 
 // Queue serves a request from a unit of this daemon.
@@ -269,8 +297,18 @@
 	if u == nil {
 		return QueueReply{Code: NotOwner}
 	}
-	waiting, err := u.Waiting(ctx, req.Queue)
-	return QueueReply{Code: codeOf(err), Waiting: waiting}
+	waiting, others, err := u.Waiting(ctx, req.Queue, req.Route)
+	return QueueReply{Code: codeOf(err), Waiting: waiting, Others: others}
+}
+
+// Standings serves a request from a unit of this daemon.
+func Standings(ctx context.Context, units Units, req StandingsRequest) StandingsReply {
+	u := units.Unit(req.Unit)
+	if u == nil {
+		return StandingsReply{Code: NotOwner}
+	}
+	standings, err := u.Standings(ctx, req.Query)
+	return StandingsReply{Code: codeOf(err), Standings: standings}
 }
 
 func codeOf(err error) Code {
