Work that can't start takes no part of its team's limit

Cause: owners reported all ready tasks as waiting, and the leader divides a team's limit by what waits. 50 tasks of 64 cores, which fit no instance, left the other pool 0.62 of a core of 100. Tasks that could run but find no room now (a full pool, no instance with their label, a gang without room) did the same.

Why this works: an owner reports what it could start but for the grant, tasks for which an instance has room now, at most what is free in its pool, and none that are over the team's whole limit. What is left of a limit is divided evenly as before, so a pool that fills up later has an allowance to begin with.

--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -131,7 +132,7 @@
 	if c == nil {
 		return uses
 	}
-	waiting := u.waitingByTeam(pool)
+	waiting := u.waitingByTeam(pool, c, time.Now())
 	for team := range c.Teams {
 		s := teamPool{pool: pool, team: team}
 		uses[team] = quota.Use{Held: u.allowances.grants[s], Running: u.allowances.running[s], Waiting: waiting[team]}
@@ -139,17 +140,43 @@
 	return uses
 }
 
-func (u *Unit) waitingByTeam(pool string) map[string]job.Resources {
-	waiting := map[string]job.Resources{}
-	for _, c := range u.waiting[pool] {
-		e := u.jobs[c.Job]
-		if e == nil || c.Class == schedule.NoValue {
+// waitingByTeam returns the need of the waiting tasks that could start now but for
+// their team's grant. What can't start, for now or ever, must not take a part of the
+// team's limit from pools where it could be used.
+func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]job.Resources {
+	nodes := u.nodes(pool, now)
+	free := schedule.TotalFree(nodes)
+	waiting, backfill := map[string]job.Resources{}, map[string]job.Resources{}
+	for _, candidate := range schedule.Startable(u.waiting[pool], nodes) {
+		e := u.jobs[candidate.Job]
+		if e == nil || candidate.Class == schedule.NoValue {
 			continue
 		}
-		team := e.job.Submission.Team
-		for range c.Tasks {
-			waiting[team] = waiting[team].Add(c.Step.Need)
+		team, need := e.job.Submission.Team, candidate.Step.Need.Times(len(candidate.Tasks))
+		if t := c.Teams[team]; t != nil && !withinLimit(candidate, t.Limit) {
+			continue
+		}
+		if candidate.Step.Fills {
+			backfill[team] = backfill[team].Add(need)
+		} else {
+			waiting[team] = waiting[team].Add(need)
 		}
 	}
+	for team, need := range waiting {
+		waiting[team] = job.Resources{CPU: min(need.CPU, free.CPU), Memory: min(need.Memory, free.Memory), GPU: min(need.GPU, free.GPU)}
+	}
+	for team, need := range backfill {
+		waiting[team] = waiting[team].Add(need)
+	}
 	return waiting
 }
+
+// withinLimit reports whether what has to start at once of a candidate, a task or a
+// whole gang, is within a team's limit.
+func withinLimit(c *schedule.Candidate, limit job.Resources) bool {
+	need := c.Step.Need
+	if c.Step.Gang {
+		need = need.Times(len(c.Tasks))
+	}
+	return capped(need, limit) == need
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,8 +24,8 @@
 	Held job.Resources
 	// Running is the need of recorded runs.
 	Running job.Resources
-	// Waiting is the need of the tasks that are ready to start, except those of jobs
-	// without value left.
+	// Waiting is the need of the tasks that could start now but for the grant, except
+	// those of jobs without value left.
 	Waiting job.Resources
 }
 
