A job's progress is stored in parts, so no job is too large for the store

Cause: the progress was one record with a row for each task, over the store's limit of a record from about 15,000 placed tasks on. An owner repeats an append until it succeeds and decides nothing meanwhile.

Why this works: a record holds the progress of at most 256 tasks, and checkpoints are left out of one that would still be over the limit. Parts are stored before the head and deleted after it, so a job can be restored from any prefix of a commit; a random test stores prefixes.

The limits are settings (record_bytes, call_bytes) with the platform's figures as defaults.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -143,7 +143,7 @@
 	d.units = newUnits(workCtx, d.deps(unitOf), d.fleetController())
 	d.owners.units = d.units
 	d.service = &intake.Service{
-		Log: d.log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Logger: d.logger,
+		Log: d.log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Limits: d.settings.storeLimits(), Logger: d.logger,
 	}
 	d.outage = &outage{log: d.ports.Log, member: d.member, peers: d.peers, logger: d.logger}
 	go d.outage.run(workCtx)
@@ -181,6 +181,7 @@
 	return owner.Deps{
 		Log: d.log, Instances: d.ports.Instances, Advisor: d.ports.Advisor, Peers: d.owners, View: d.view, Clock: d.ports.Clock,
 		QueueUnits: queueunits.New(d.log, d.ports.Clock),
+		Limits:     d.settings.storeLimits(),
 		Bounds: owner.Bounds{
 			MaxLease: millis(b.MaxLeaseMS), StatusKept: seconds(b.StatusKeptS), StopTimeout: millis(b.StopTimeoutMS),
 			Move:   seconds(b.MoveS) + registryReadInterval,
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/beryltide/beryltide/internal/owner"
+	"github.com/beryltide/beryltide/internal/store"
 )
 
 // Settings are the fields of a daemon's settings file.
@@ -39,10 +40,35 @@
 	// DutiesPerSecond and ListsPerSecond are the platform's limits on orders to
 	// machines and on readings of the list of machines, of which a list of many takes
 	// several, for all daemons together.
-	DutiesPerSecond float64       `json:"duties_per_second"`
-	ListsPerSecond  float64       `json:"lists_per_second"`
-	Bounds          BoundSettings `json:"bounds"`
-	Log             LogSettings   `json:"log"`
+	DutiesPerSecond float64 `json:"duties_per_second"`
+	ListsPerSecond  float64 `json:"lists_per_second"`
+	// RecordBytes and CallBytes are the store's limits on a record and on the records of
+	// one append; 0 stands for the defaults.
+	RecordBytes int           `json:"record_bytes"`
+	CallBytes   int           `json:"call_bytes"`
+	Bounds      BoundSettings `json:"bounds"`
+	Log         LogSettings   `json:"log"`
+}
+
+// Defaults of the store's limits, from the platform's documentation.
+const (
+	defaultRecordBytes = 262_144
+	defaultCallBytes   = 2_097_152
+	// minRecordBytes holds the largest record of a finished job and each record of the
+	// fleet's machines.
+	minRecordBytes = 16_384
+)
+
+// storeLimits returns the store's limits on records.
+func (s Settings) storeLimits() store.Limits {
+	l := store.Limits{Record: s.RecordBytes, Append: s.CallBytes}
+	if l.Record == 0 {
+		l.Record = defaultRecordBytes
+	}
+	if l.Append == 0 {
+		l.Append = defaultCallBytes
+	}
+	return l
 }
 
 // LogSettings configures the log.
@@ -109,6 +135,10 @@
 		return errors.Errorf("lists_per_second: %v, want more than 0", s.ListsPerSecond)
 	case s.ProcessorShare <= 0:
 		return errors.Errorf("processor_share: %v, want more than 0", s.ProcessorShare)
+	case s.RecordBytes != 0 && s.RecordBytes < minRecordBytes:
+		return errors.Errorf("record_bytes: %d, want at least %d", s.RecordBytes, minRecordBytes)
+	case s.CallBytes != 0 && s.CallBytes < s.storeLimits().Record:
+		return errors.Errorf("call_bytes: %d, want at least record_bytes", s.CallBytes)
 	case s.Bounds.MaxLeaseMS < 1:
 		return errors.Errorf("bounds.max_lease_ms: %d, want at least 1", s.Bounds.MaxLeaseMS)
 	case s.Bounds.GraceS <= 0:
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -44,7 +44,7 @@
 			}
 			return errors.Wrap(ErrNotRun, "no unit is assigned to the pool yet")
 		}
-		err := s.routed.append(ctx, unit, []store.Record{r}, s.appendOnce)
+		err := s.routed.append(ctx, unit, []store.Record{r}, s.Limits.Append, s.appendOnce)
 		if err == nil {
 			return nil
 		}
@@ -107,12 +107,12 @@
 
 // AppendForPeer implements ownerrpc.Appender.
 func (s *Service) AppendForPeer(ctx context.Context, unit int, records []store.Record) error {
-	return s.direct.append(ctx, unit, records, s.appendNow)
+	return s.direct.append(ctx, unit, records, s.Limits.Append, s.appendNow)
 }
 
 // appendDirect appends records from this daemon, together with those of peers.
 func (s *Service) appendDirect(unit int, records []store.Record) error {
-	return s.direct.append(context.Background(), unit, records, s.appendNow)
+	return s.direct.append(context.Background(), unit, records, s.Limits.Append, s.appendNow)
 }
 
 // appendNow appends records from this daemon. Without records it probes whether the
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,6 +41,8 @@
 	ErrNotRun = errors.New("not accepted; it will not run")
 	// ErrMayRun means that the request may have been accepted.
 	ErrMayRun = errors.New("unknown whether it was accepted")
+	// ErrTooLarge means that the store takes no record of the size. It wraps ErrNotRun.
+	ErrTooLarge = errors.Wrap(ErrNotRun, "the job is too large to be stored")
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = owner.ErrNoJob
 	// ErrUnavailable means that the job's owner couldn't be queried.
@@ -55,6 +57,8 @@
 	Member *ownership.Member
 	// UnitOf returns a pool's unit, or unitmap.None.
 	UnitOf func(pool string) int
+	// Limits are those of the store on callers' records.
+	Limits store.Limits
 	Logger *zap.Logger
 
 	// ownerFirstUntil is the Unix time in milliseconds until which appends go
@@ -94,7 +98,11 @@
 	if err != nil {
 		return errors.Wrap(ErrNotRun, err.Error())
 	}
-	return s.appendWithRetry(ctx, func() int { return s.UnitOf(sub.Pool) }, store.Record{Key: owner.SubmissionPrefix + sub.ID, Value: data})
+	record := store.Record{Key: owner.SubmissionPrefix + sub.ID, Value: data}
+	if record.Size() > s.Limits.Record {
+		return ErrTooLarge
+	}
+	return s.appendWithRetry(ctx, func() int { return s.UnitOf(sub.Pool) }, record)
 }
 
 // State returns a job's state. It returns ErrNoJob if the queue has no such job,
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -64,9 +64,11 @@
 func newService(client *memstore.Client) *Service {
 	log := watch(client)
 	member := ownership.New(log, "127.0.0.1:1", "1", 1, func(context.Context, string) bool { return true }, func() time.Duration { return time.Hour }, zap.NewNop())
-	return &Service{Log: log, Units: noUnits{}, Peers: ownerrpc.NewClient(), Member: member, UnitOf: func(string) int { return 1 }, Logger: zap.NewNop()}
+	return &Service{Log: log, Units: noUnits{}, Peers: ownerrpc.NewClient(), Member: member, UnitOf: func(string) int { return 1 }, Limits: limits, Logger: zap.NewNop()}
 }
 
+var limits = store.Limits{Record: 262_144, Append: 2_097_152}
+
 func submission() *job.Submission {
 	return &job.Submission{ID: "00000000000000aa", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 1}}}
 }
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -42,7 +42,7 @@
 	yes := func(ownership.Tenure) bool { return true }
 	l[number] = owner.New(ctx, owner.Deps{
 		Log: client, View: view, Clock: clock, Peers: l, QueueUnits: queueunits.New(client, clock), Logger: zap.NewNop(),
-		Meter: owner.NewMeter(tally.NoopScope), UnitOf: unitOfPool, InUse: func(int) bool { return true },
+		Limits: limits, Meter: owner.NewMeter(tally.NoopScope), UnitOf: unitOfPool, InUse: func(int) bool { return true },
 		Bounds: owner.Bounds{MaxLease: 10 * time.Second, StatusKept: time.Minute},
 		Holds:  yes, Sole: yes, GiveUp: func(ownership.Tenure) {},
 	}, ownership.Tenure{Unit: number, Epoch: 64})
--- a/internal/intake/unithealth.go
+++ b/internal/intake/unithealth.go
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	h.Observe(s.direct.append(ctx, unit, nil, s.appendNow) == nil)
+	h.Observe(s.direct.append(ctx, unit, nil, s.Limits.Append, s.appendNow) == nil)
 }
 
 // probeDirectly tries an append that can have no effect, and returns nil if the store
--- a/internal/job/ended.go
+++ b/internal/job/ended.go
@@ -33,6 +33,7 @@
 		return Result{}
 	}
 	j.placed--
+	j.markChanged(id)
 	t.Phase = Waiting
 	t.WaitingSince = now
 	t.AvoidInstance = ""
@@ -57,6 +58,7 @@
 	}
 	o := j.occurrences[id.Occurrence]
 	t.Phase = Done
+	j.markChanged(id)
 	o.remaining--
 	if j.Step(id).Gang {
 		j.finishGang(o, id.Step)
@@ -64,6 +66,9 @@
 	if o.remaining == 0 {
 		delete(j.occurrences, id.Occurrence)
 		j.done++
+		for j.firstOpen < j.nextOccurrence && j.occurrences[j.firstOpen] == nil {
+			j.firstOpen++
+		}
 	}
 	return r
 }
@@ -78,6 +83,7 @@
 			j.placed--
 		}
 		t.Phase = Done
+		j.markChanged(TaskID{Occurrence: o.Number, Step: step, Index: i})
 		o.remaining--
 	}
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -100,11 +100,15 @@
 	started   bool
 	// placed is the number of tasks in phase Placed.
 	placed int
+	// firstOpen is the number of the first occurrence that isn't done.
+	firstOpen int
+	// changed holds the parts that have to be stored, stored those that the store has.
+	changed, stored map[part]bool
 }
 
 // New returns a job without progress. Advance begins its occurrences.
 func New(s *Submission) *Job {
-	return &Job{Submission: s, occurrences: map[int]*Occurrence{}}
+	return &Job{Submission: s, occurrences: map[int]*Occurrence{}, changed: map[part]bool{}, stored: map[part]bool{}}
 }
 
 func (j *Job) ID() string { return j.Submission.ID }
@@ -124,12 +128,12 @@
 	return time.UnixMilli(s.FirstDue + int64(occurrence)*s.IntervalMS)
 }
 
-// Advance begins the occurrences that are due. It returns the due time of the next
-// one; pending is false if there is none.
+// Advance begins the occurrences that are due, as many as a job may have at once. It
+// returns the due time of the next one; pending is false if there is none.
 func (j *Job) Advance(now time.Time) (next time.Time, pending bool) {
 	for j.Active() && j.nextOccurrence < j.total() {
 		due := j.Due(j.nextOccurrence)
-		if j.Timed() && due.After(now) {
+		if j.Timed() && due.After(now) || j.full() {
 			return due, true
 		}
 		j.occurrences[j.nextOccurrence] = j.newOccurrence(j.nextOccurrence, now)
@@ -138,6 +142,12 @@
 	return time.Time{}, false
 }
 
+// full reports whether no further occurrence may begin before another one is done.
+func (j *Job) full() bool {
+	open := len(j.occurrences)
+	return open >= maxOpenOccurrences || open > 0 && (open+1)*j.Submission.tasks() > maxTasks
+}
+
 func (j *Job) newOccurrence(number int, now time.Time) *Occurrence {
 	o := &Occurrence{Number: number}
 	for _, step := range j.Submission.Steps {
@@ -215,7 +225,7 @@
 
 // EachOccurrence visits the occurrences that have begun and aren't done, in order.
 func (j *Job) EachOccurrence(visit func(o *Occurrence)) {
-	for n := range j.nextOccurrence {
+	for n := j.firstOpen; n < j.nextOccurrence; n++ {
 		if o := j.occurrences[n]; o != nil {
 			visit(o)
 		}
@@ -287,6 +297,7 @@
 	t.Phase = Placed
 	t.Run = run
 	t.Placement = at
+	j.markChanged(id)
 	j.started = true
 	j.placed++
 }
@@ -303,11 +314,13 @@
 
 func (j *Job) saveCheckpoint(id TaskID, t *Task, checkpoint string) {
 	t.Checkpoint = checkpoint
+	j.markChanged(id)
 	if !j.Step(id).Gang {
 		return
 	}
 	members := j.occurrences[id.Occurrence].Steps[id.Step]
 	for i := range members {
 		members[i].Checkpoint = checkpoint
+		j.markChanged(TaskID{Occurrence: id.Occurrence, Step: id.Step, Index: i})
 	}
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding"
+	"fmt"
+	"maps"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -200,25 +203,71 @@
 	check("progress", reflect.TypeFor[progressRecord]())
 }
 
+// storedJob is what a store holds of a job's progress, by part.
+type storedJob map[string][]byte
+
+// store stores the first of some records.
+func (s storedJob) store(records []Record) {
+	for _, r := range records {
+		if r.Value == nil {
+			delete(s, r.Part)
+			continue
+		}
+		s[r.Part] = r.Value
+	}
+}
+
+func (s storedJob) restore(submission *Submission) (*Job, error) {
+	parts := maps.Clone(s)
+	delete(parts, "")
+	j := New(submission)
+	return j, j.Restore(s[""], parts, now)
+}
+
+const testLimit = 1 << 16
+
+// Guards against stored progress that can't be restored, or not as it was, also if a
+// daemon ends between two appends of one commit.
 func TestRecordRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		wide := rapid.SampledFrom([]int{0, 0, partTasks, 2*partTasks - 3}).Draw(t, "wide")
 		s := submission(
-			Step{Count: rapid.IntRange(1, 4).Draw(t, "first")},
-			Step{Count: rapid.IntRange(1, 3).Draw(t, "second"), After: []int{0}, Checkpointing: true},
+			Step{Count: wide + rapid.IntRange(1, 4).Draw(t, "first")},
+			Step{Count: rapid.IntRange(1, 3).Draw(t, "second"), After: []int{0}, Checkpointing: true, Gang: rapid.Bool().Draw(t, "gang")},
 		)
 		j := New(s)
 		j.Advance(now)
-		for range rapid.IntRange(0, 30).Draw(t, "events") {
-			randomEvent(t, j)
+		stored := storedJob{}
+		stored.store(j.Records(testLimit))
+		committed := map[TaskID]Task{}
+		for range rapid.IntRange(0, 10).Draw(t, "commits") {
+			for range rapid.IntRange(0, 10).Draw(t, "events") {
+				randomEvent(t, j)
+			}
+			records := j.Records(testLimit)
+			if len(records) > 1 && rapid.IntRange(0, 9).Draw(t, "crash") == 0 {
+				stored.store(records[:rapid.IntRange(0, len(records)-1).Draw(t, "stored")])
+				restored, err := stored.restore(s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				checkCommitted(t, restored, committed)
+				return
+			}
+			stored.store(records)
+			clear(committed)
+			eachTask(j, func(id TaskID, task *Task) { committed[id] = *task })
 		}
-		data := j.Record()
-		restored := New(s)
-		if err := restored.Restore(data, now); err != nil {
+		restored, err := stored.restore(s)
+		if err != nil {
 			t.Fatal(err)
 		}
 		if restored.State() != j.State() || restored.Finished() != j.Finished() || restored.placed != j.placed {
 			t.Fatalf("state %s, %d placed, want %s, %d", restored.State(), restored.placed, j.State(), j.placed)
 		}
+		if j.Finished() && len(stored) > 1 {
+			t.Fatalf("%d parts of a finished job are stored", len(stored)-1)
+		}
 		j.EachPlaced(func(id TaskID, want *Task) {
 			got := restored.Task(id)
 			if got.Run != want.Run || got.Placement != want.Placement || got.Checkpoint != want.Checkpoint || got.Failures != want.Failures {
@@ -228,6 +277,59 @@
 	})
 }
 
+func eachTask(j *Job, visit func(TaskID, *Task)) {
+	j.EachOccurrence(func(o *Occurrence) {
+		for step := range o.Steps {
+			for index := range o.Steps[step] {
+				visit(TaskID{Job: j.ID(), Occurrence: o.Number, Step: step, Index: index}, &o.Steps[step][index])
+			}
+		}
+	})
+}
+
+// checkCommitted checks that no task is behind what a completed commit stored.
+func checkCommitted(t *rapid.T, restored *Job, committed map[TaskID]Task) {
+	for id, want := range committed {
+		got := restored.Task(id)
+		if got == nil && restored.State() == Completed {
+			continue
+		}
+		if got == nil || got.Run < want.Run || want.Phase == Done && got.Phase != Done {
+			t.Fatalf("task %v: %+v, committed as %+v", id, got, want)
+		}
+	}
+}
+
+// Guards against records that are over the store's limit, with which a pool stands
+// still: of a job with many tasks, with long checkpoints, or with many occurrences.
+func TestRecordsStayWithinTheLimit(t *testing.T) {
+	is := is.New(t)
+	wide := submission(Step{Count: 10_000}, Step{Count: 8000})
+	timed := submission(Step{Count: 3, Checkpointing: true})
+	timed.Occurrences, timed.IntervalMS = 1_000_000, 1
+	for _, s := range []*Submission{wide, timed, submission(Step{Count: partTasks, Checkpointing: true})} {
+		is.NoErr(s.Validate())
+		j := New(s)
+		j.Advance(now)
+		eachTask(j, func(id TaskID, _ *Task) {
+			j.Place(id, 1, Placement{Instance: fmt.Sprint("instance-", id.Index), Incarnation: 1 << 40})
+			j.SaveCheckpoint(id, 1, strings.Repeat("c", 1000))
+		})
+		stored := storedJob{}
+		for _, r := range j.Records(testLimit) {
+			is.True(len(r.Value) <= testLimit)
+			stored.store([]Record{r})
+		}
+		restored, err := stored.restore(s)
+		is.NoErr(err)
+		is.Equal(restored.placed, j.placed)
+		id := TaskID{Job: s.ID}
+		j.Ended(id, 1, EndFailed, "", 4, now)
+		is.True(len(j.Records(testLimit)) <= 2) // one part, and the head
+	}
+	is.True(submission(Step{Count: 10_000}, Step{Count: 10_000}, Step{Count: 10_000}, Step{Count: 10_000}, Step{Count: 10_000}, Step{Count: 1}).Validate() != nil)
+}
+
 func randomEvent(t *rapid.T, j *Job) {
 	step := rapid.IntRange(0, 1).Draw(t, "step")
 	id := task(step, rapid.IntRange(0, j.Submission.Steps[step].Count-1).Draw(t, "index"))
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -19,13 +18,22 @@
 	Checkpoint  string
 }
 
+// partRecord is the stored form of a part, an array like progressRecord.
+type partRecord struct {
+	// Instances holds the IDs that tasks refer to by index.
+	Instances []string
+	Tasks     []taskRecord
+}
+
 type occurrenceRecord struct {
 	Number int
-	Steps  [][]taskRecord
+	// Steps is empty if the tasks are stored in parts.
+	Steps [][]taskRecord
 }
 
-// progressRecord is the stored form of a job's progress, an array without field
-// names: the order of its fields, and of those of the types in it, is fixed.
+// progressRecord is the stored form of a job's progress, but for the parts: an array
+// without field names. The order of its fields, and of those of the types in it, is
+// fixed.
 type progressRecord struct {
 	Next      int
 	Done      int
@@ -39,6 +47,15 @@
 	Occurrences []occurrenceRecord
 }
 
+// Record is one of the records in which a job's progress is stored.
+type Record struct {
+	// Part names a part of the job's tasks; it is empty for the head, which holds the
+	// rest.
+	Part string
+	// Value is nil if the part has to be deleted.
+	Value []byte
+}
+
 // EncodeSubmission returns the stored form of a submission. Fields without a value
 // are left out.
 func EncodeSubmission(s *Submission) ([]byte, error) {
@@ -64,96 +81,119 @@
 	return &s, nil
 }
 
-// Record returns the stored form of the job's progress. AvoidInstance and
+// Records returns what has changed in the job's progress since the last call, in the
+// order in which it has to be stored: parts, the head, deletions. The job can be
+// restored if only the first ones are stored. Checkpoints are left out of a value that
+// would be over the limit, in bytes; their tasks begin anew. AvoidInstance and
 // WaitingSince aren't stored. It panics if the progress can't be encoded, which its
 // types rule out: a start must never go out without its record.
-func (j *Job) Record() []byte {
-	r := progressRecord{Next: j.nextOccurrence, Done: j.done, Cancelled: j.cancelled, Failed: j.failed, Started: j.started}
+func (j *Job) Records(limit int) []Record {
+	head := progressRecord{Next: j.nextOccurrence, Done: j.done, Cancelled: j.cancelled, Failed: j.failed, Started: j.started}
+	var out []Record
 	if !j.Finished() {
-		numbers := map[string]int{}
+		for p := range j.changed {
+			if o := j.occurrences[p.occurrence]; o != nil {
+				out = append(out, Record{Part: p.name(), Value: o.encodePart(p.number, limit)})
+				j.stored[p] = true
+			}
+		}
+	}
+	clear(j.changed)
+	out = append(out, Record{Value: j.encodeHead(head, limit)})
+	for p := range j.stored {
+		if j.Finished() || j.occurrences[p.occurrence] == nil {
+			out = append(out, Record{Part: p.name()})
+			delete(j.stored, p)
+		}
+	}
+	return out
+}
+
+func (j *Job) encodeHead(r progressRecord, limit int) []byte {
+	if j.Finished() {
+		return encode(&r)
+	}
+	return encodeWithin(limit, func(checkpoints bool) any {
+		instances := instanceTable{numbers: map[string]int{}}
+		r.Occurrences = nil
 		j.EachOccurrence(func(o *Occurrence) {
-			r.Occurrences = append(r.Occurrences, r.occurrence(o, numbers))
+			stored := occurrenceRecord{Number: o.Number}
+			for _, tasks := range o.Steps {
+				if !j.Submission.inParts() {
+					stored.Steps = append(stored.Steps, instances.rows(pointers(tasks), checkpoints))
+				}
+			}
+			r.Occurrences = append(r.Occurrences, stored)
 		})
+		r.Instances = instances.ids
+		return &r
+	})
+}
+
+func (o *Occurrence) encodePart(number, limit int) []byte {
+	return encodeWithin(limit, func(checkpoints bool) any {
+		instances := instanceTable{numbers: map[string]int{}}
+		rows := instances.rows(o.tasksOf(number), checkpoints)
+		return &partRecord{Instances: instances.ids, Tasks: rows}
+	})
+}
+
+// encodeWithin encodes a record with its checkpoints, or without them if it would be
+// longer than the limit.
+func encodeWithin(limit int, record func(checkpoints bool) any) []byte {
+	if data := encode(record(true)); len(data) <= limit {
+		return data
 	}
+	return encode(record(false))
+}
+
+func encode(record any) []byte {
 	var out bytes.Buffer
 	encoder := msgpack.NewEncoder(&out)
 	encoder.UseArrayEncodedStructs(true) // field names would be most of a record
-	if err := encoder.Encode(&r); err != nil {
+	if err := encoder.Encode(record); err != nil {
 		panic(errors.Wrap(err, "progress"))
 	}
 	return out.Bytes()
 }
 
-func (r *progressRecord) occurrence(o *Occurrence, numbers map[string]int) occurrenceRecord {
-	out := occurrenceRecord{Number: o.Number}
-	for _, tasks := range o.Steps {
-		rows := make([]taskRecord, len(tasks))
-		for i, t := range tasks {
-			rows[i] = taskRecord{Phase: t.Phase, Run: t.Run}
-			if t.Phase == Done {
-				continue
-			}
-			rows[i].Failures = t.Failures
-			rows[i].Checkpoint = t.Checkpoint
-			if t.Phase == Placed {
-				rows[i].Instance = r.instance(t.Placement.Instance, numbers)
-				rows[i].Incarnation = t.Placement.Incarnation
-			}
-		}
-		out.Steps = append(out.Steps, rows)
+func pointers(tasks []Task) []*Task {
+	out := make([]*Task, len(tasks))
+	for i := range tasks {
+		out[i] = &tasks[i]
 	}
 	return out
 }
 
-func (r *progressRecord) instance(id string, numbers map[string]int) int {
-	if numbers[id] == 0 {
-		r.Instances = append(r.Instances, id)
-		numbers[id] = len(r.Instances)
-	}
-	return numbers[id]
+// instanceTable numbers the instances of a record from 1.
+type instanceTable struct {
+	ids     []string
+	numbers map[string]int
 }
 
-// Restore applies stored progress to a new job. Waiting tasks wait since now. After
-// an error the job isn't usable.
-func (j *Job) Restore(data []byte, now time.Time) error {
-	var r progressRecord
-	if err := msgpack.Unmarshal(data, &r); err != nil {
-		return errors.Wrap(err, "progress")
-	}
-	j.nextOccurrence, j.done = r.Next, r.Done
-	j.cancelled, j.failed, j.started = r.Cancelled, r.Failed, r.Started
-	for _, o := range r.Occurrences {
-		if err := j.restoreOccurrence(&r, o, now); err != nil {
-			return errors.Wrapf(err, "occurrence %d", o.Number)
-		}
+func (t *instanceTable) number(id string) int {
+	if t.numbers[id] == 0 {
+		t.ids = append(t.ids, id)
+		t.numbers[id] = len(t.ids)
 	}
-	return nil
+	return t.numbers[id]
 }
 
-func (j *Job) restoreOccurrence(r *progressRecord, stored occurrenceRecord, now time.Time) error {
-	o := j.newOccurrence(stored.Number, now)
-	if len(stored.Steps) != len(o.Steps) {
-		return errors.Errorf("%d steps, want %d", len(stored.Steps), len(o.Steps))
-	}
-	for s, rows := range stored.Steps {
-		if len(rows) != len(o.Steps[s]) {
-			return errors.Errorf("step %d: %d tasks, want %d", s, len(rows), len(o.Steps[s]))
+func (t *instanceTable) rows(tasks []*Task, checkpoints bool) []taskRecord {
+	rows := make([]taskRecord, len(tasks))
+	for i, task := range tasks {
+		rows[i] = taskRecord{Phase: task.Phase, Run: task.Run}
+		if task.Phase == Done {
+			continue
 		}
-		for i, row := range rows {
-			t := &o.Steps[s][i]
-			t.Phase, t.Run, t.Failures, t.Checkpoint = row.Phase, row.Run, row.Failures, row.Checkpoint
-			switch row.Phase {
-			case Done:
-				o.remaining--
-			case Placed:
-				if row.Instance < 1 || row.Instance > len(r.Instances) {
-					return errors.Errorf("step %d, task %d: instance index out of range", s, i)
-				}
-				t.Placement = Placement{Instance: r.Instances[row.Instance-1], Incarnation: row.Incarnation}
-				j.placed++
-			}
+		rows[i].Failures = task.Failures
+		if checkpoints {
+			rows[i].Checkpoint = task.Checkpoint
+		}
+		if task.Phase == Placed {
+			rows[i].Instance = t.number(task.Placement.Instance)
+			rows[i].Incarnation = task.Placement.Incarnation
 		}
 	}
-	j.occurrences[stored.Number] = o
-	return nil
+	return rows
 }
--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -159,6 +159,9 @@
 			return errors.Wrapf(err, "steps[%d]", i)
 		}
 	}
+	if s.tasks() > maxTasks {
+		return errors.Errorf("steps: %d tasks, at most %d", s.tasks(), maxTasks)
+	}
 	return nil
 }
 
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -41,6 +41,8 @@
 	Partitions int
 	// ReadLimit is the highest number of records in a batch; 0 means no limit.
 	ReadLimit int
+	// Limits refuse larger records and appends; zero values stand for none.
+	Limits store.Limits
 
 	mu         sync.Mutex
 	partitions map[partitionKey]*partition
@@ -158,6 +160,9 @@
 // Append implements store.Log.
 func (c *Client) Append(ctx context.Context, topic string, part int, records []store.Record, seq *store.Sequence) error {
 	return c.call(ctx, "append", func() error {
+		if c.store.tooLarge(records) {
+			return store.ErrNotDone
+		}
 		p := c.store.partition(topic, part)
 		if seq == nil {
 			p.add(records)
@@ -167,6 +172,15 @@
 	})
 }
 
+func (s *Store) tooLarge(records []store.Record) bool {
+	for _, r := range records {
+		if s.Limits.Record > 0 && r.Size() > s.Limits.Record {
+			return true
+		}
+	}
+	return s.Limits.Append > 0 && store.AppendSize(records) > s.Limits.Append
+}
+
 func (p *partition) appendInSequence(records []store.Record, seq *store.Sequence) error {
 	switch {
 	case seq.Epoch < p.epoch:
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -68,20 +68,40 @@
 		}
 	}
 	c.inFlight = true
-	seq := store.Sequence{Producer: producer, Epoch: u.tenure.Epoch, Number: c.number}
-	if len(records) > 0 {
-		c.number++
+	appends := u.Limits.Split(records)
+	first := c.number
+	c.number += int64(len(appends))
+	go u.appendAll(appends, first, finish)
+}
+
+// appendAll makes appends in order, under consecutive sequence numbers, and then
+// finishes the commit. Without records, one append confirms that no later owner exists.
+func (u *Unit) appendAll(appends [][]store.Record, first int64, finish func()) {
+	begin := time.Now()
+	if len(appends) == 0 {
+		appends = [][]store.Record{nil}
+	}
+	for n, records := range appends {
+		seq := store.Sequence{Producer: producer, Epoch: u.tenure.Epoch, Number: first + int64(n)}
+		if !u.append(records, seq) {
+			return
+		}
 	}
-	go u.append(records, seq, finish)
+	u.Meter.commit.RecordDuration(time.Since(begin))
+	u.post(func() {
+		u.commit.inFlight = false
+		finish()
+	})
 }
 
 // encodeDirty returns the records of changed jobs, and functions that publish
-// their recorded states.
+// their recorded states. A job's progress comes before its compacted submission, to
+// which an earlier progress doesn't belong.
 func (u *Unit) encodeDirty() ([]store.Record, []func()) {
 	var records []store.Record
 	var publishers []func()
-	for id, e := range u.commit.dirty {
-		records = append(records, store.Record{Key: progressPrefix + id, Value: e.job.Record()})
+	for _, e := range u.commit.dirty {
+		records = u.appendProgress(records, e.job)
 		if e.job.Finished() {
 			records = u.appendCompacted(records, e)
 		}
@@ -91,6 +111,24 @@
 	return append(records, u.commit.extraRecords...), publishers
 }
 
+// partSeparator stands between a job's ID and the name of a part in the keys of parts.
+const partSeparator = "/"
+
+// maxPartName is well over the length of a part's name.
+const maxPartName = 40
+
+func (u *Unit) appendProgress(records []store.Record, j *job.Job) []store.Record {
+	key := progressPrefix + j.ID()
+	for _, r := range j.Records(u.Limits.MaxValue(key) - maxPartName) {
+		name := key
+		if r.Part != "" {
+			name += partSeparator + r.Part
+		}
+		records = append(records, store.Record{Key: name, Value: r.Value})
+	}
+	return records
+}
+
 // appendCompacted replaces a finished job's submission in the store, in the append
 // that records its end: a successor reads the records of all jobs whose state is
 // still shown, and the payloads of finished ones would be most of their bytes.
@@ -115,11 +153,10 @@
 }
 
 // append retries one append, under its sequence number, until it succeeds or the
-// unit is lost. Without records it only confirms that no later owner exists: a
-// restarted instance has no fence, and a former owner with nothing to record must
-// not acknowledge ends there, since the instance would delete them.
-func (u *Unit) append(records []store.Record, seq store.Sequence, finish func()) {
-	begin := time.Now()
+// unit is lost, which it returns. Without records it only confirms that no later owner
+// exists: a restarted instance has no fence, and a former owner with nothing to record
+// must not acknowledge ends there, since the instance would delete them.
+func (u *Unit) append(records []store.Record, seq store.Sequence) bool {
 	failed := false
 	for u.ctx.Err() == nil {
 		err := u.Log.Append(u.ctx, ownership.Topic, u.tenure.Unit, records, &seq)
@@ -127,18 +164,13 @@
 		confirmed := len(records) == 0 && errors.As(err, &sequence)
 		switch {
 		case err == nil || confirmed:
-			u.Meter.commit.RecordDuration(time.Since(begin))
-			u.post(func() {
-				u.commit.inFlight = false
-				finish()
-			})
-			return
+			return true
 		case errors.Is(err, store.ErrFenced):
 			u.lose("fenced")
-			return
+			return false
 		case errors.As(err, &sequence):
 			u.lose("sequence number rejected: " + err.Error())
-			return
+			return false
 		}
 		if !failed {
 			u.Logger.Warn("store.append_failed", zap.Int("records", len(records)), zap.Error(err))
@@ -146,4 +178,5 @@
 		failed = true
 		pause.For(u.ctx, retryDelay)
 	}
+	return false
 }
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex
 	instances map[string]*fakeInstance
 	catalog   *catalog.Catalog
+	limits    store.Limits
 	// owners holds the newest owner of each unit.
 	owners map[int]*daemon
 	cancel context.CancelFunc
@@ -57,7 +58,8 @@
 }
 
 func newCluster(t *testing.T, instances int) *cluster {
-	c := &cluster{t: t, startedAt: time.Now(), store: memstore.New(3), instances: map[string]*fakeInstance{}, owners: map[int]*daemon{}}
+	c := &cluster{t: t, startedAt: time.Now(), store: memstore.New(3), instances: map[string]*fakeInstance{}, owners: map[int]*daemon{}, limits: store.Limits{Record: 262_144, Append: 2_097_152}}
+	c.store.Limits = c.limits
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	t.Cleanup(c.cancel)
 	c.catalog = catalog.New(1)
@@ -109,6 +111,7 @@
 	deps := Deps{
 		Log: d.log, Instances: d, Advisor: d, View: d.view, Clock: c.clock,
 		Bounds: Bounds{MaxLease: maxLease, StatusKept: time.Minute, Cancel: cancelBound, Drain: drainBound, Evacuate: evacuateBound},
+		Limits: c.limits,
 		Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope),
 		Peers: d, QueueUnits: queueunits.New(d.log, c.clock), UnitOf: unitOf, InUse: func(int) bool { return true },
 		Holds:  func(ownership.Tenure) bool { return d.holds() },
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -80,12 +80,7 @@
 
 // load merges the newest records into jobs.
 func (u *Unit) load(records []store.Record, now time.Time) {
-	progress := map[string][]byte{}
-	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, progressPrefix); ok {
-			progress[id] = r.Value
-		}
-	}
+	progress := progressByJob(records)
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, SubmissionPrefix) {
 			u.loadSubmission(r, progress, now)
@@ -101,7 +96,34 @@
 	}
 }
 
-func (u *Unit) loadSubmission(r store.Record, progress map[string][]byte, now time.Time) {
+// storedProgress is the stored progress of a job: the head, and the parts by name.
+type storedProgress struct {
+	head  []byte
+	parts map[string][]byte
+}
+
+// progressByJob returns the progress of jobs with a stored head. Parts are stored before
+// their head, and starts are sent after both.
+func progressByJob(records []store.Record) map[string]storedProgress {
+	progress := map[string]storedProgress{}
+	for _, r := range records {
+		name, ok := strings.CutPrefix(r.Key, progressPrefix)
+		if ok && !strings.Contains(name, partSeparator) {
+			progress[name] = storedProgress{head: r.Value, parts: map[string][]byte{}}
+		}
+	}
+	for _, r := range records {
+		if name, ok := strings.CutPrefix(r.Key, progressPrefix); ok {
+			id, part, isPart := strings.Cut(name, partSeparator)
+			if p, found := progress[id]; found && isPart {
+				p.parts[part] = r.Value
+			}
+		}
+	}
+	return progress
+}
+
+func (u *Unit) loadSubmission(r store.Record, progress map[string]storedProgress, now time.Time) {
 	e := u.addSubmission(r, now)
 	if e == nil {
 		id := strings.TrimPrefix(r.Key, SubmissionPrefix)
@@ -109,13 +131,13 @@
 		u.unreadable[id] = mayHaveRun
 		return
 	}
-	data, found := progress[e.job.ID()]
+	stored, found := progress[e.job.ID()]
 	if !found {
 		u.requestAdmission(e)
 		return
 	}
 	u.addToQueue(e.job.Submission.QueueRoute())
-	if err := e.job.Restore(data, now); err != nil {
+	if err := e.job.Restore(stored.head, stored.parts, now); err != nil {
 		// A job whose progress can't be read must not run again, also when its
 		// submission is read again.
 		u.Logger.Error("job.progress_unreadable", zap.String("job", e.job.ID()), zap.Error(err))
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -80,6 +80,8 @@
 	// Clock is a monotonic clock that also counts suspended time.
 	Clock  bootclock.Clock
 	Bounds Bounds
+	// Limits are those of the store on the unit's records.
+	Limits store.Limits
 	Logger *zap.Logger
 	Meter  *Meter
 	// UnitOf returns the unit of a pool.
