An odd entry in the registry names no instance, and no reader stops at it

What callers could see (report of operators of systems like this one): one odd entry among those of the instances, nested very deeply, with a number too large or with a port out of range, and the daemons that read the list end or stop following it.

Found here, with tests that failed before: no such entry ended a daemon, as encoding/json bounds nesting and connecting to an odd address is an error.

- an odd entry under the ID of a known instance left the former entry in force at the daemons that had read it, and not at others.

The newest entry of an ID counts, also if it is odd. A page of newest records that doesn't lead on ends the listing.

--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -151,8 +151,8 @@
 	v.applyRegistry(records, Instances{})
 }
 
-// ApplyRegistry applies newer records of the registry. A record without a value
-// removes its instance.
+// ApplyRegistry applies newer records of the registry. A record without a value, or
+// with one that can't be read, removes its instance.
 func (v *View) ApplyRegistry(records []store.Record) {
 	old := v.Instances()
 	next := make(Instances, len(old))
@@ -171,6 +171,7 @@
 		entry, err := v.decode.Registration(r.Key, r.Value)
 		if err != nil {
 			v.logger.Warn("registry.entry_unreadable", zap.String("instance", r.Key), zap.Error(err))
+			delete(next, r.Key)
 			continue
 		}
 		next[r.Key] = entry
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -134,7 +134,9 @@
 			from = page.End
 		}
 		all = append(all, page.Records...)
-		if page.After == "" {
+		if page.After <= after {
+			// The last page, or one that doesn't lead on: a key that isn't text may be
+			// returned as another one.
 			return all, from, nil
 		}
 		after = page.After
