A gang's failures are counted by run, not by member

Cause: the failures of all members of the gang were added up, so one failed run of four members counted as four attempts.

Why this works: members have equal counts when a run begins, so a member whose count is below another's knows that the run has been counted. Nothing new is stored; a successor goes on from the same counts.

--- a/internal/job/ended.go
+++ b/internal/job/ended.go
@@ -88,20 +88,32 @@
 	}
 }
 
+// gangFailures returns the lowest and the highest number of failures of a gang's
+// members. They are equal when a run begins, and the highest one is that of the gang's
+// failed runs.
+func (j *Job) gangFailures(id TaskID) (lowest, highest int) {
+	members := j.occurrences[id.Occurrence].Steps[id.Step]
+	lowest = members[0].Failures
+	for i := range members {
+		lowest, highest = min(lowest, members[i].Failures), max(highest, members[i].Failures)
+	}
+	return lowest, highest
+}
+
 func (j *Job) recordFailure(id TaskID, t *Task, maxFailures int) {
 	t.AvoidInstance = t.Placement.Instance
 	if j.Step(id).Lasting {
 		return
 	}
-	t.Failures++
-	failures := t.Failures
-	if j.Step(id).Gang {
-		failures = 0
-		for _, member := range j.occurrences[id.Occurrence].Steps[id.Step] {
-			failures += member.Failures
-		}
+	if !j.Step(id).Gang {
+		t.Failures++
+	} else if lowest, highest := j.gangFailures(id); lowest == highest {
+		t.Failures++
+	} else {
+		// Another member has counted this run of the gang.
+		t.Failures = highest
 	}
-	if maxFailures > 0 && failures >= maxFailures {
+	if maxFailures > 0 && t.Failures >= maxFailures {
 		j.failed = true
 	}
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -64,7 +64,8 @@
 	Phase Phase
 	// Run is the number of the newest run, from 1; 0 before the first.
 	Run int
-	// Failures is the number of runs that ended with EndFailed.
+	// Failures is the number of runs that ended with EndFailed; of a gang's member, of
+	// the gang's runs.
 	Failures int
 	// Placement is where the newest run was started; valid in phase Placed.
 	Placement Placement
@@ -297,6 +298,9 @@
 	t.Phase = Placed
 	t.Run = run
 	t.Placement = at
+	if j.Step(id).Gang {
+		_, t.Failures = j.gangFailures(id)
+	}
 	j.markChanged(id)
 	j.started = true
 	j.placed++
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -343,3 +343,30 @@
 		j.Ended(id, current.Run, how, rapid.SampledFrom([]string{"", "c1"}).Draw(t, "checkpoint"), 3, now)
 	}
 }
+
+// Guards against a gang that fails for good after one failed run, in which each of its
+// members lists a failure.
+func TestGangFailsOnceARun(t *testing.T) {
+	is := is.New(t)
+	j, o := startedJob(Step{Count: 4, Gang: true})
+	fail := func(hows ...End) {
+		run := j.NextRun(task(0, 0))
+		for i := range hows {
+			j.Place(task(0, i), run, at)
+		}
+		for i, how := range hows {
+			j.Ended(task(0, i), run, how, "", 3, now)
+		}
+	}
+	fail(EndFailed, EndFailed, EndFailed, EndFailed)
+	is.Equal(j.State(), Running)
+	fail(EndBroken, EndFailed, EndBroken, EndBroken) // another member of the same gang
+	is.Equal(j.State(), Running)
+	restored := New(j.Submission)
+	is.NoErr(restored.Restore(j.Records(testLimit)[0].Value, nil, now))
+	is.True(len(restored.WaitingTasks(restored.occurrences[0], 0)) == len(o.Steps[0]))
+	fail(EndStopped, EndStopped, EndStopped, EndStopped)
+	is.Equal(j.State(), Running)
+	fail(EndBroken, EndBroken, EndFailed, EndFailed)
+	is.Equal(j.State(), Failed) // three runs of the gang have failed
+}
