An instance gets tasks only by the entry of the incarnation that answers

Cause: the incarnation is learned from a listing, capacity and labels from the registry, which is read later. Between the two, tasks were placed by the former entry.

Why this works: both carry the time of the incarnation's start, and an instance is usable only while they are the same, whichever is learned of first.

TestRestartedInstanceLosesItsRuns and TestEndsRecordedLateAreNotAcknowledgedToANewIncarnation restarted an instance that never wrote its new entry, as no instance does; it writes it now, and the tests check what they did.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -320,6 +320,7 @@
 		i.runs, i.lastRun, i.ended, i.lastEndNumber, i.fence = map[job.TaskID]*fakeRun{}, map[job.TaskID]int{}, nil, 0, 0
 		i.duration = 100 * time.Millisecond
 		i.mu.Unlock()
+		d.view.ResetRegistry(c.registrations()) // it writes its new entry
 		time.Sleep(3 * time.Second)
 		is.Equal(d.state(jobA), job.Completed)
 		is.Equal(len(c.startsOf(jobA)), 2)
@@ -531,6 +532,7 @@
 		i.incarnation++
 		i.runs, i.lastRun, i.ended, i.lastEndNumber, i.fence = map[job.TaskID]*fakeRun{}, map[job.TaskID]int{}, nil, 0, 0
 		i.mu.Unlock()
+		d.view.ResetRegistry(c.registrations()) // it writes its new entry
 		c.submit(jobA, smallStep(1))
 		time.Sleep(1500 * time.Millisecond)
 		d.log.SetFault(nil)
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -291,10 +291,16 @@
 }
 
 func (s *session) usable(now time.Time) bool {
-	return s.listed && s.reconciled && !s.reg.Draining && !s.unreachable && s.strays == 0 &&
+	return s.listed && s.reconciled && s.entryCurrent() && !s.reg.Draining && !s.unreachable && s.strays == 0 &&
 		!s.cordoned(now) && now.Sub(s.lastContact) < contactTimeout
 }
 
+// entryCurrent reports whether the registry's entry is of the incarnation that answers:
+// a restarted instance may have another capacity and other labels.
+func (s *session) entryCurrent() bool {
+	return s.reg.Incarnation == 0 || s.incarnation == 0 || s.reg.Incarnation == s.incarnation
+}
+
 // syncSessions creates, updates and removes sessions as the registry changes.
 func (u *Unit) syncSessions(now time.Time) {
 	listed := u.View.Instances()
