A job keeps its queue's number of attempts and need of advice

Cause: both were read from the active configuration, with a default for a queue that isn't there.

Why this works: the submission is stored with them. Jobs stored by an earlier version have neither and are treated as before.

Related: tasks of a removed queue with advice were started without a ticket, which instances refuse.

--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -110,10 +110,18 @@
 	FirstDue int64
 	// IntervalMS is the time between two due times, in milliseconds.
 	IntervalMS int64
+	// MaxFailures is the queue's number of failed runs of a task at which the job fails;
+	// NoMaxFailures if it had none, 0 if an earlier version stored the job.
+	MaxFailures int
+	// Advised means that the queue starts tasks only with an advisor's ticket.
+	Advised bool
 	// AcceptedAt is the Unix millisecond at which a daemon accepted the job.
 	AcceptedAt int64
 }
 
+// NoMaxFailures is the MaxFailures of a job whose tasks may fail any number of times.
+const NoMaxFailures = -1
+
 // Limits of a submission. The payload is in bytes.
 const (
 	idLength     = 16
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -317,21 +317,29 @@
 	}
 }
 
-// Reassign makes a new assignment of all partitions of a group.
-func (s *Store) Reassign(name string) {
+// Reassign makes a new assignment of all partitions of a group, and reports whether
+// one of them has another owner now.
+func (s *Store) Reassign(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group(name).assign(s.Partitions)
+	g := s.group(name)
+	before := maps.Clone(g.owners)
+	g.assign(s.Partitions)
+	return !maps.Equal(before, g.owners)
 }
 
 // Compact drops the history of all partitions: reads from earlier offsets fail with
-// store.ErrExpired, and Newest still lists the newest record of each key.
-func (s *Store) Compact() {
+// store.ErrExpired, and Newest still lists the newest record of each key. It returns
+// the number of records dropped.
+func (s *Store) Compact() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	dropped := 0
 	for _, p := range s.partitions {
+		dropped += len(p.records)
 		p.first, p.records = p.end(), nil
 	}
+	return dropped
 }
 
 // Leave implements store.Log.
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -154,7 +154,7 @@
 
 func (u *Unit) applyResult(e *entry, id job.TaskID, number int, how job.End, checkpoint string, now time.Time) {
 	wasActive := e.job.Active()
-	result := e.job.Ended(id, number, how, checkpoint, u.queue(e.job.Submission.Queue).MaxFailures, now)
+	result := e.job.Ended(id, number, how, checkpoint, u.maxFailures(e.job.Submission), now)
 	if !result.Changed {
 		return
 	}
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -149,7 +149,7 @@
 	if step.PerInstance > 0 || step.Lasting || step.SameRack {
 		c.Placed = placedByInstance(o.Steps[number])
 	}
-	if u.queue(e.job.Submission.Queue).Advised {
+	if u.advised(e.job.Submission) {
 		c.Tickets = u.validTickets(c, e.job.Submission.Pool, now)
 	}
 	c.Allowance = u.allowanceFor(teamPoolOf(e.job.Submission))
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -285,6 +285,29 @@
 	u.planDue = true
 }
 
+// maxFailures returns the number of failed runs of a task at which a job fails, as it
+// was when the job was accepted; 0 if there is none.
+func (u *Unit) maxFailures(s *job.Submission) int {
+	switch {
+	case s.MaxFailures > 0:
+		return s.MaxFailures
+	case s.MaxFailures == job.NoMaxFailures:
+		return 0
+	}
+	return u.queue(s.Queue).MaxFailures
+}
+
+// advised reports whether a job's tasks start only with a ticket: as configured, or as
+// it was when the job was accepted if its queue was removed.
+func (u *Unit) advised(s *job.Submission) bool {
+	if c := u.View.Catalog(); c != nil {
+		if q := c.Queues[s.Queue]; q != nil {
+			return q.Advised
+		}
+	}
+	return s.Advised
+}
+
 // queue returns a job's queue as configured now. For a removed queue it returns
 // defaults, for the jobs that it has accepted.
 func (u *Unit) queue(name string) *catalog.Queue {
@@ -296,5 +319,6 @@
 	return &catalog.Queue{Name: name, MaxFailures: defaultMaxFailures, Stretch: 1, Priority: 1}
 }
 
-// defaultMaxFailures bounds the attempts of jobs whose queue was removed.
+// defaultMaxFailures bounds the attempts of jobs whose queue was removed and that an
+// earlier version stored.
 const defaultMaxFailures = 4
