--- a/Makefile
+++ b/Makefile
@@ -67,10 +67,10 @@
 .PHONY: soak soak-short
 
 # Fifty seeds of faults against real daemons; prints seed, schedule and logs of
-# each that breaks a promise.
+# each that breaks a promise or does too little work.
 soak:
 	$(GO) run ./tools/soak -seeds 1-50
 
-# Two short seeds, in every check.
+# Two seeds, in every check. They fail if a judge has had nothing to judge.
 soak-short:
-	$(GO) run ./tools/soak -seeds 7,8 -length 6s -parallel 2
+	$(GO) run ./tools/soak -seeds 2,3 -parallel 2 -all-judges
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -8,46 +8,55 @@
 	"github.com/beryltide/beryltide/internal/job"
 )
 
-// checker checks the system's promises against what callers and instances
-// observe: no two runs of a task at once, no run of a refused, cancelled or
-// finished task, steps in order, instances within their capacity, and job states
-// that never go back. Its methods may be called concurrently.
+// checker checks the system's promises against what callers and instances observe,
+// and counts what each judge has judged. Its methods may be called concurrently.
 type checker struct {
+	sentTo     func(q *queue, pool string) bool
+	movedSince func(q *queue, t time.Time) bool
+
 	mu   sync.Mutex
 	jobs map[string]*jobRecord
-	// runsOf holds the number of each task's running run, by task and instance.
-	runsOf map[string]map[string]int
-	// acknowledgedAt is when the end of a done task was acknowledged to its
-	// instance.
-	acknowledgedAt map[string]time.Time
+	// runsOf holds the runs of each task, by instance.
+	runsOf map[job.TaskID]map[string]*observedRun
+	// acknowledgedAt is when the end of a done task was acknowledged to its instance.
+	acknowledgedAt map[job.TaskID]time.Time
+	// failedRuns holds the run numbers that ended failed, by task or gang, and
+	// whether the end has been acknowledged.
+	failedRuns map[job.TaskID]map[int]bool
+	// drainingSince is when the first instance began to drain.
+	drainingSince time.Time
+	// teamCPU is what the team has running.
+	teamCPU int
 	// violations holds the broken promises, each with its time since the start.
 	violations []string
 	startedAt  time.Time
-	// startCount and endCount are the numbers of runs started and ended.
-	startCount, endCount int
+	counts     counts
+}
+
+// observedRun is a run that is under way.
+type observedRun struct {
+	run  int
+	step *stepPlan
 }
 
 // jobRecord is what callers and instances have observed of one job.
 type jobRecord struct {
-	payload string
-	// counts holds the number of tasks of each step.
-	counts []int
+	*jobPlan
 	// mayRun is false once the answer to every attempt of the submission was that
 	// the job never runs.
 	mayRun      bool
 	acceptedAt  time.Time
 	cancelledAt time.Time
 	lastState   job.State
-	doneTasks   map[int]map[int]bool
+	doneTasks   map[[2]int]map[int]bool
 }
 
-// cancelTimeout is how long after an acknowledged cancellation a task may still
-// start: the 3 s promised to users, and the leases that a takeover under faults
-// waits for.
-const cancelTimeout = 12 * time.Second
-
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, runsOf: map[string]map[string]int{}, acknowledgedAt: map[string]time.Time{}, startedAt: time.Now()}
+	return &checker{
+		jobs: map[string]*jobRecord{}, runsOf: map[job.TaskID]map[string]*observedRun{}, acknowledgedAt: map[job.TaskID]time.Time{},
+		failedRuns: map[job.TaskID]map[int]bool{}, startedAt: time.Now(),
+		counts: counts{kinds: map[jobKind]int{}, drawn: map[string]int{}, effective: map[string]int{}, exercised: map[judge]int{}},
+	}
 }
 
 // violation records a broken promise. The caller holds c.mu.
@@ -55,22 +64,70 @@
 	c.violations = append(c.violations, fmt.Sprintf("%7.3f s  ", time.Since(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// violationTexts returns a copy of the violations so far.
-func (c *checker) violationTexts() []string {
+// report records a broken promise.
+func (c *checker) report(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violation(format, args...)
+}
+
+// exercise records that a judge has judged something.
+func (c *checker) exercise(j judge) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.exercised[j]++
+}
+
+// drew and tookEffect count a fault.
+func (c *checker) drew(kind string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]string(nil), c.violations...)
+	c.counts.drawn[kind]++
+}
+
+func (c *checker) tookEffect(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.effective[kind]++
+}
+
+// result returns a copy of the violations and the counts so far.
+func (c *checker) result() ([]string, counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.counts
+	n.accepted, n.completed, n.kinds = 0, 0, map[jobKind]int{}
+	for _, rec := range c.jobs {
+		if !rec.acceptedAt.IsZero() {
+			n.accepted++
+			n.kinds[rec.kind]++
+		}
+		if rec.lastState == job.Completed {
+			n.completed++
+		}
+	}
+	return append([]string(nil), c.violations...), n
 }
 
 // submitted records a submission before its first attempt.
-func (c *checker) submitted(id, payload string, counts []int) {
+func (c *checker) submitted(p *jobPlan) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.jobs[id] == nil {
-		c.jobs[id] = &jobRecord{payload: payload, counts: counts, mayRun: true, doneTasks: map[int]map[int]bool{}}
+	if c.jobs[p.id] == nil {
+		c.jobs[p.id] = &jobRecord{jobPlan: p, mayRun: true, doneTasks: map[[2]int]map[int]bool{}}
 	}
 }
 
+// plan returns a submitted job, or nil.
+func (c *checker) plan(id string) *jobPlan {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rec := c.jobs[id]; rec != nil {
+		return rec.jobPlan
+	}
+	return nil
+}
+
 // answered records the final result of a submission: refused means that the
 // answer to every attempt was that the job never runs.
 func (c *checker) answered(id string, accepted, refused bool) {
@@ -81,11 +138,13 @@
 		rec.acceptedAt = time.Now()
 	}
 	rec.mayRun = !refused
-	if refused {
-		for task := range c.runsOf {
-			if len(task) > len(id) && task[:len(id)] == id {
-				c.violation("%s ran, but its caller got the answer that the job never runs", task)
-			}
+	if !refused {
+		return
+	}
+	c.counts.exercised[judgeRefused]++
+	for task := range c.runsOf {
+		if task.Job == id {
+			c.violation("%v ran, but its caller got the answer that the job never runs", task)
 		}
 	}
 }
@@ -94,71 +153,66 @@
 func (c *checker) cancelAcked(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.jobs[id].cancelledAt.IsZero() {
-		c.jobs[id].cancelledAt = time.Now()
+	if rec := c.jobs[id]; rec.cancelledAt.IsZero() {
+		rec.cancelledAt = time.Now()
+		if stateRank[rec.lastState] < 3 {
+			c.counts.exercised[judgeCancelled]++
+		}
 	}
 }
 
-// started checks and records the start of a run at an instance, with the payload
-// that the instance received.
-func (c *checker) started(instanceID string, id job.TaskID, task string, run int, payload string) {
+// ended records the end of a run at an instance.
+func (c *checker) ended(at *instance, r *taskRun, how job.End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.startCount++
-	rec := c.jobs[id.Job]
-	switch {
-	case rec == nil:
-		c.violation("%s run %d at %s: no such job was submitted", task, run, instanceID)
-		return
-	case rec.payload != payload:
-		c.violation("%s run %d at %s: the payload differs from the submitted one", task, run, instanceID)
-	case !rec.mayRun:
-		c.violation("%s run %d at %s: its caller got the answer that the job never runs", task, run, instanceID)
-	case !rec.cancelledAt.IsZero() && time.Since(rec.cancelledAt) > cancelTimeout:
-		c.violation("%s run %d at %s: the job was cancelled %s earlier", task, run, instanceID, time.Since(rec.cancelledAt))
-	case !c.acknowledgedAt[task].IsZero():
-		c.violation("%s run %d at %s: the task was done and its end acknowledged", task, run, instanceID)
+	if observed := c.runsOf[r.id][at.id]; observed != nil {
+		c.teamCPU -= observed.step.cpu
 	}
-	for other, number := range c.runsOf[task] {
-		c.violation("%s run %d at %s: run %d is still running at %s", task, run, instanceID, number, other)
+	delete(c.runsOf[r.id], at.id)
+	rec := c.jobs[r.id.Job]
+	if rec == nil || how != job.EndDone {
+		return
 	}
-	if id.Step > 0 && len(rec.doneTasks[id.Step-1]) < rec.counts[id.Step-1] {
-		c.violation("%s run %d at %s: step %d isn't done", task, run, instanceID, id.Step-1)
+	key := [2]int{r.id.Occurrence, r.id.Step}
+	if rec.doneTasks[key] == nil {
+		rec.doneTasks[key] = map[int]bool{}
 	}
-	if c.runsOf[task] == nil {
-		c.runsOf[task] = map[string]int{}
+	rec.doneTasks[key][r.id.Index] = true
+	for index := range rec.steps[r.id.Step].count {
+		if rec.steps[r.id.Step].gang {
+			rec.doneTasks[key][index] = true
+		}
 	}
-	c.runsOf[task][instanceID] = run
 }
 
-// ended records the end of a run at an instance.
-func (c *checker) ended(instanceID string, id job.TaskID, task string, how job.End) {
+// failed records that a run has ended failed, or that this end was acknowledged.
+func (c *checker) failed(id job.TaskID, run int, acknowledged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endCount++
-	delete(c.runsOf[task], instanceID)
-	if rec := c.jobs[id.Job]; rec != nil && how == job.EndDone {
-		if rec.doneTasks[id.Step] == nil {
-			rec.doneTasks[id.Step] = map[int]bool{}
-		}
-		rec.doneTasks[id.Step][id.Index] = true
+	id = c.attemptKey(id)
+	if c.failedRuns[id] == nil {
+		c.failedRuns[id] = map[int]bool{}
 	}
+	c.failedRuns[id][run] = c.failedRuns[id][run] || acknowledged
 }
 
-// endAcknowledged records that the end of a done task was acknowledged.
-func (c *checker) endAcknowledged(task string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.acknowledgedAt[task].IsZero() {
-		c.acknowledgedAt[task] = time.Now()
+// attemptKey returns the task whose attempts count: for members of a gang the first
+// one. The caller holds c.mu.
+func (c *checker) attemptKey(id job.TaskID) job.TaskID {
+	if rec := c.jobs[id.Job]; rec != nil && rec.steps[id.Step].gang {
+		id.Index = 0
 	}
+	return id
 }
 
-// overCapacity records that an instance's runs exceed its capacity.
-func (c *checker) overCapacity(instanceID string, used, capacity int) {
+// endAcknowledged records that the end of a done task was acknowledged.
+func (c *checker) endAcknowledged(id job.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.violation("%s: runs use %d of its %d CPU units", instanceID, used, capacity)
+	c.counts.exercised[judgeAcked]++
+	if c.acknowledgedAt[id].IsZero() {
+		c.acknowledgedAt[id] = time.Now()
+	}
 }
 
 // stateRank orders job states: the state that callers get never goes back.
@@ -170,34 +224,72 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rec := c.jobs[id]
+	c.counts.exercised[judgeKnown]++
+	if !rec.acceptedAt.IsZero() && c.movedSince(rec.queue, rec.acceptedAt) {
+		c.counts.exercised[judgeMoved]++
+	}
 	if state == "" {
 		if !rec.acceptedAt.IsZero() {
-			c.violation("%s was accepted and is reported not to exist", id)
+			c.violation("%s (%s) was accepted and is reported not to exist", id, rec.queue.name)
 		}
 		return
 	}
 	if stateRank[state] < stateRank[rec.lastState] || stateRank[rec.lastState] == 3 && state != rec.lastState {
 		c.violation("%s changed from %s to %s", id, rec.lastState, state)
 	}
-	if state == job.Completed {
-		for step, count := range rec.counts {
-			if len(rec.doneTasks[step]) < count {
-				c.violation("%s is reported completed with %d of %d tasks of step %d done", id, len(rec.doneTasks[step]), count, step)
+	if rec.lastState != "" {
+		c.counts.exercised[judgeStates]++
+	}
+	if rec.lastState != state && state == job.Failed {
+		c.checkFailed(rec)
+	}
+	if rec.lastState != state && state == job.Completed {
+		c.checkCompleted(rec)
+	}
+	rec.lastState = state
+}
+
+// checkFailed checks that a task or gang of a failed job has failed often enough.
+func (c *checker) checkFailed(rec *jobRecord) {
+	most := 0
+	for id, runs := range c.failedRuns {
+		if id.Job == rec.id {
+			most = max(most, len(runs))
+		}
+	}
+	c.counts.exercised[judgeAttempts]++
+	if most < rec.queue.maxAttempts {
+		c.violation("%s (%s) is reported failed after %d failed runs of a task, of %d", rec.id, rec.kind, most, rec.queue.maxAttempts)
+	}
+}
+
+func (c *checker) checkCompleted(rec *jobRecord) {
+	for occurrence := range max(rec.occurrences, 1) {
+		for step, s := range rec.steps {
+			if done := len(rec.doneTasks[[2]int{occurrence, step}]); done < s.count {
+				c.violation("%s is reported completed with %d of %d tasks of step %d done", rec.id, done, s.count, step)
 			}
 		}
 	}
-	rec.lastState = state
 }
 
-// unfinished returns the accepted jobs of which no caller got a final state.
+// unfinished returns the accepted jobs that have to end and of which no caller got a
+// final state.
 func (c *checker) unfinished() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
 	for id, rec := range c.jobs {
-		if !rec.acceptedAt.IsZero() && stateRank[rec.lastState] < 3 {
+		if !rec.acceptedAt.IsZero() && rec.mustEnd() && stateRank[rec.lastState] < 3 {
 			out = append(out, id)
 		}
 	}
 	return out
 }
+
+// drains records that an instance drains from now on.
+func (c *checker) drains() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drainingSince = time.Now()
+}
--- /dev/null
+++ b/tools/soak/floors_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newLog(t *testing.T) *os.File {
+	f, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+// Guards against a soak that passes without work: no daemon accepted the settings that
+// it wrote, and every seed counted no start and passed.
+func TestSeedWithoutWorkFails(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "beryltided")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/beryltided").CombinedOutput(); err != nil {
+		t.Fatalf("build: %s", out)
+	}
+	for number, c := range []struct {
+		name    string
+		prepare func(*harness)
+		want    string
+	}{
+		{"the store never answers", func(h *harness) { h.storeSilent = true }, "0 accepted jobs"},
+		{"the proxies of all instances pass nothing", func(h *harness) {
+			for _, p := range h.instanceProxies {
+				_ = p.listener.Close()
+			}
+		}, "0 starts"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := options{length: 3 * time.Second, settle: time.Second, prepare: c.prepare}
+			report, n, ok := runSeed(o, uint64(30_000+number), t.TempDir(), binary)
+			is.True(!ok)
+			is.Equal(n.starts, 0)
+			is.True(strings.Contains(report, c.want))
+		})
+	}
+}
+
+func TestSettingsAreCheckedAsTheDaemonDoes(t *testing.T) {
+	is := is.New(t)
+	s := (&harness{}).settings(0, "127.0.0.1:1")
+	file := filepath.Join(t.TempDir(), "d.json")
+	is.NoErr(writeSettings(file, s))
+	s.ListsPerSecond = 0
+	is.True(writeSettings(file, s) != nil)
+}
+
+// A daemon that ends by itself breaks a promise, whatever else was seen.
+func TestDaemonThatEndsByItselfIsReported(t *testing.T) {
+	is := is.New(t)
+	binary, err := exec.LookPath("false")
+	is.NoErr(err)
+	p := &process{name: "d", checker: newChecker(), logFile: newLog(t)}
+	_, err = p.logFile.WriteString("first\nthe last line\n")
+	is.NoErr(err)
+	is.NoErr(p.start(binary))
+	p.wait()
+	violations, _ := p.checker.result()
+	is.Equal(len(violations), 1)
+	is.True(strings.Contains(violations[0], "the last line"))
+}
+
+func TestFloors(t *testing.T) {
+	is := is.New(t)
+	enough := counts{starts: minStarts, accepted: minAccepted, completed: minCompleted, kinds: map[jobKind]int{}, drawn: map[string]int{"f": 2}, effective: map[string]int{"f": 1}}
+	for _, kind := range rareKinds {
+		enough.kinds[kind] = 1
+	}
+	is.Equal(len(enough.shortfalls()), 0)
+	for _, lessen := range []func(*counts){
+		func(c *counts) { c.starts-- },
+		func(c *counts) { c.accepted-- },
+		func(c *counts) { c.completed-- },
+		func(c *counts) { c.kinds = map[jobKind]int{} },
+		func(c *counts) { c.effective = nil },
+	} {
+		c := enough
+		lessen(&c)
+		is.True(len(c.shortfalls()) > 0)
+	}
+	is.Equal(len(counts{exercised: map[judge]int{judgeDue: 1}}.notExercised()), len(allJudges)-1)
+}
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -7,75 +7,67 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/beryltide/beryltide/internal/fleetd"
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/store"
 )
 
 const (
 	daemonCount   = 4
-	instanceCount = 6
-	unitCount     = 4
-	queueHost     = "soak.example"
-	queuePath     = "/jobs/"
+	instanceCount = 8
+	unitCount     = 6
+	recordBytes   = 262_144
+	callBytes     = 2_097_152
+	// entryDelay is how long a change at an instance takes until its entry shows it.
+	entryDelay = 300 * time.Millisecond
 )
 
-// configuration has one pool, one open queue, and no spare pool.
-const configuration = `{"version":1,"routes":[{"name":"q","host":"` + queueHost + `","path_prefix":"` + queuePath + `","service":"p","max_attempts":4,"stretch":2,"target_latency_ms":1000,"public":true}],
-"services":[{"name":"p"}],"limits":{"max_body_bytes":65536}}`
-
 // harness holds one seed's daemon processes and the simulated store and instances.
 type harness struct {
-	seed      uint64
-	dir       string
-	binary    string
-	checker   *checker
-	store     *memstore.Store
-	daemons   []*process
-	instances []*instance
+	seed     uint64
+	dir      string
+	binary   string
+	checker  *checker
+	operator *operator
+	store    *memstore.Store
+	// storeSilent leaves the daemons' calls to the store without an answer.
+	storeSilent bool
+	daemons     []*process
+	instances   []*instance
 	// instanceProxies holds the proxy in front of each instance.
 	instanceProxies []*proxy
 	cancel          context.CancelFunc
 }
 
-// process is one daemon, with its own client of the store and a proxy in front of
-// it.
-type process struct {
-	name           string
-	settingsFile   string
-	callersAddress string
-	storeClient    *memstore.Client
-	storeProxy     *proxy
-	// cmd is the newest start that succeeded; nil before the first. Faults read it
-	// while another one restarts the process.
-	cmd     atomic.Pointer[exec.Cmd]
-	logFile *os.File
-	// mu lets only one fault at a time restart the process.
-	mu sync.Mutex
-}
-
-func newHarness(seed uint64, dir, binary string, runTime time.Duration) (*harness, error) {
+// newHarness starts a seed's instances and daemons. It calls prepare, if not nil, before
+// the daemons start.
+func newHarness(seed uint64, dir, binary string, runTime time.Duration, prepare func(*harness)) (*harness, error) {
 	h := &harness{seed: seed, dir: dir, binary: binary, checker: newChecker(), store: memstore.New(unitCount)}
+	h.store.Limits = store.Limits{Record: recordBytes, Append: callBytes}
+	h.operator = newOperator(h)
+	h.checker.sentTo, h.checker.movedSince = h.operator.sentTo, h.operator.movedSince
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.appendRecord("keyed.op", "config", []byte(configuration))
+	h.operator.apply(func() {})
+	all := &gangs{runs: map[gangRun]*gangState{}}
 	for n := range instanceCount {
-		if err := h.addInstance(n, runTime); err != nil {
-			return nil, err
+		if err := h.addInstance(n, all, runTime); err != nil {
+			return h, err
 		}
 	}
 	go h.advanceInstances(ctx)
+	if prepare != nil {
+		prepare(h)
+	}
 	for n := range daemonCount {
 		if err := h.addDaemon(n); err != nil {
-			return nil, err
+			return h, err
 		}
 	}
 	return h, nil
@@ -101,8 +93,9 @@
 }
 
 // addInstance starts an instance with a proxy and lists it in the store.
-func (h *harness) addInstance(n int, runTime time.Duration) error {
-	i := newInstance(h.checker, fmt.Sprintf("i-%d", n), runTime)
+func (h *harness) addInstance(n int, all *gangs, runTime time.Duration) error {
+	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], runTime: runTime}
+	i.restart(n / 2 % len(kindCPUs))
 	address, err := serveLocal(i.handler())
 	if err != nil {
 		return err
@@ -111,18 +104,15 @@
 	if err != nil {
 		return err
 	}
+	i.address = instanceProxy.addr()
 	h.instances, h.instanceProxies = append(h.instances, i), append(h.instanceProxies, instanceProxy)
-	entry, err := json.Marshal(map[string]any{
-		"service": "p", "address": instanceProxy.addr(), "zone": "z", "state": "ready", "labels": []string{"a", "r"},
-		"capacity": map[string]int{"cpu": instanceCPU, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
-	})
-	if err != nil {
-		return errors.Wrap(err, "entry")
-	}
-	h.appendRecord("keyed.servers", i.id, entry)
+	h.list(i)
 	return nil
 }
 
+// list writes an instance's entry.
+func (h *harness) list(i *instance) { h.appendRecord("keyed.servers", i.id, i.entry()) }
+
 // advanceInstances ends runs and expires leases on time at instances that get no
 // calls.
 func (h *harness) advanceInstances(ctx context.Context) {
@@ -149,31 +139,50 @@
 	return listen
 }
 
+// settings returns a daemon's settings.
+func (h *harness) settings(n int, storeAddress string) fleetd.Settings {
+	listen := h.listenAddresses(n, "callers", "readiness", "peers", "operations", "machines")
+	return fleetd.Settings{
+		Instance: fmt.Sprintf("d-%d", n), DataCentre: "z", Callers: listen["callers"], Readiness: listen["readiness"],
+		Peers: listen["peers"], Operations: listen["operations"], Store: storeAddress, Machines: listen["machines"],
+		Units: unitCount, MemoryMB: 256, ProcessorShare: 1, DutiesPerSecond: 64, ListsPerSecond: 64,
+		RecordBytes: recordBytes, CallBytes: callBytes,
+		Bounds: fleetd.BoundSettings{
+			MaxLeaseMS: maxLeaseMS, StopTimeoutMS: 200, StatusKeptS: 120, GraceS: 6, MoveS: 1.5, MaintenanceS: 2,
+			DutyLeaseMS: 3000, CancelMS: 3000, DrainMS: 2000, EvacuateMS: 5000,
+		},
+		Log: fleetd.LogSettings{Level: "info"},
+	}
+}
+
+// writeSettings writes a daemon's settings, as checked by the daemon's own validation.
+func writeSettings(file string, s fleetd.Settings) error {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	if _, err := fleetd.ParseSettings(file, data); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(file, data, 0o600), "settings")
+}
+
 // addDaemon writes a daemon's settings and starts it with its own link to the
 // store.
 func (h *harness) addDaemon(n int) error {
-	p := &process{name: fmt.Sprintf("d-%d", n), storeClient: h.store.Client()}
-	address, err := serveLocal((&storeServer{client: p.storeClient}).handler())
+	p := &process{checker: h.checker, storeClient: h.store.Client()}
+	address, err := serveLocal((&storeServer{client: p.storeClient, silent: h.storeSilent}).handler())
 	if err != nil {
 		return err
 	}
 	if p.storeProxy, err = newProxy(address); err != nil {
 		return err
 	}
-	listen := h.listenAddresses(n, "callers", "readiness", "peers", "operations", "machines")
-	p.callersAddress = listen["callers"]
-	data, err := json.Marshal(map[string]any{
-		"instance": p.name, "data_centre": "z", "callers": listen["callers"], "readiness": listen["readiness"], "peers": listen["peers"],
-		"operations": listen["operations"], "store": p.storeProxy.addr(), "machines": listen["machines"], "units": unitCount,
-		"processor_share": 1, "duties_per_second": 64, "memory_mb": 256, "bounds": map[string]any{"max_lease_ms": maxLeaseMS, "grace_s": 6, "status_kept_s": 120, "duty_lease_ms": 3000, "cancel_ms": 3000, "drain_ms": 2000, "evacuate_ms": 5000},
-		"log": map[string]string{"level": "info"},
-	})
-	if err != nil {
-		return errors.Wrap(err, "settings")
-	}
+	s := h.settings(n, p.storeProxy.addr())
+	p.name, p.callersAddress = s.Instance, s.Callers
 	p.settingsFile = filepath.Join(h.dir, p.name+".json")
-	if err := os.WriteFile(p.settingsFile, data, 0o600); err != nil {
-		return errors.Wrap(err, "settings")
+	if err := writeSettings(p.settingsFile, s); err != nil {
+		return err
 	}
 	if p.logFile, err = os.Create(filepath.Join(h.dir, p.name+".log")); err != nil {
 		return errors.Wrap(err, "log")
@@ -182,40 +191,24 @@
 	return p.start(h.binary)
 }
 
-func (p *process) start(binary string) error {
-	cmd := exec.Command(binary, "fleet", "--settings", p.settingsFile)
-	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
-	if err := cmd.Start(); err != nil {
-		return errors.Wrap(err, p.name)
+func (h *harness) eachDaemon(do func(*process)) {
+	for _, d := range h.daemons {
+		do(d)
 	}
-	p.cmd.Store(cmd)
-	return nil
 }
 
-// signal sends a signal to the process, unless it hasn't started or has ended.
-func (p *process) signal(s syscall.Signal) {
-	cmd := p.cmd.Load()
-	if cmd == nil {
-		return
-	}
-	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		fmt.Fprintln(os.Stderr, p.name, err)
+// restartDaemon ends a daemon, if it still runs, and starts it again. Concurrent
+// faults restart it one after the other.
+func (h *harness) restartDaemon(d *process) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.signal(syscall.SIGCONT)
+	d.signal(syscall.SIGTERM)
+	if err := d.restart(h.binary); err != nil {
+		h.checker.report("%s", err)
 	}
 }
 
-// wait waits for the process to end.
-func (p *process) wait() {
-	if cmd := p.cmd.Load(); cmd != nil {
-		_ = cmd.Wait() // it ended by a fault
-	}
-}
-
-// restart waits for the process to end and starts it again.
-func (p *process) restart(binary string) error {
-	p.wait()
-	return p.start(binary)
-}
-
 // shutDown kills all processes of the harness, by their ids.
 func (h *harness) shutDown() {
 	for _, p := range h.daemons {
--- a/tools/soak/harness_test.go
+++ b/tools/soak/harness_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	binary, err := exec.LookPath("true")
 	is.NoErr(err)
-	p := &process{name: "d"}
+	p := &process{name: "d", checker: newChecker(), logFile: newLog(t)}
 	p.signal(syscall.SIGCONT) // not started yet
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -11,20 +11,36 @@
 )
 
 const (
-	instanceCPU = 8000
-	taskCPU     = 1000
-	maxLeaseMS  = 10_000
+	maxLeaseMS = 10_000
 	// pollInterval is how often run times, leases and pending hold calls are
 	// checked.
 	pollInterval = 5 * time.Millisecond
+	// endsPerListing is how many ends a listing holds at most.
+	endsPerListing = 500
+)
+
+// The kinds of instances: what they have, and the label that tasks may require. A
+// restarted instance may be of another kind.
+var (
+	labels   = []string{"a", "b"}
+	kindCPUs = []int{8000, 4000}
 )
 
 // instance simulates an instance of the platform: it runs tasks under a fencing
 // token, a lease and run numbers.
 type instance struct {
 	checker *checker
+	gangs   *gangs
 	id      string
+	pool    string
+	// address is that of the proxy in front of the instance.
+	address string
 	mu      sync.Mutex
+	// cpu and label are those of the current incarnation's kind.
+	cpu   int
+	label string
+	// drainingSince is when the instance reported that it drains; zero if it doesn't.
+	drainingSince time.Time
 	// startedAt is the start of the current incarnation.
 	startedAt time.Time
 	// fence is the highest fencing token of an admitted call.
@@ -34,9 +50,9 @@
 	// lastEnd is the number of the last ended run.
 	lastEnd int64
 	// runs holds the running runs by task.
-	runs map[string]*taskRun
+	runs map[job.TaskID]*taskRun
 	// lastRun is the highest run number that was started or stopped, by task.
-	lastRun map[string]int
+	lastRun map[job.TaskID]int
 	// unackedEnds holds the ends that no hold call has acknowledged.
 	unackedEnds []runEnd
 	// runTime is how long each task runs.
@@ -44,39 +60,82 @@
 	// startDelay, if not zero, leaves starts unanswered and executes them this much
 	// later.
 	startDelay time.Duration
+	// delayed counts the starts that were left unanswered, restarts the restarts.
+	delayed, restarts int
 }
 
 type taskRun struct {
 	id        job.TaskID
 	run       int
+	plan      *jobPlan
 	startedAt time.Time
 }
 
+func (r *taskRun) step() *stepPlan { return &r.plan.steps[r.id.Step] }
+
+// duration returns how long the run works, where the seed's other tasks take runTime.
+func (r *taskRun) duration(runTime time.Duration) time.Duration {
+	if r.plan.runTime > 0 {
+		return r.plan.runTime
+	}
+	return runTime
+}
+
+// outcome returns how the run ends by itself.
+func (r *taskRun) outcome() job.End {
+	if r.run <= r.plan.failures {
+		return job.EndFailed
+	}
+	return job.EndDone
+}
+
 // runEnd is the end of a run, as listed by hold until it is acknowledged.
 type runEnd struct {
 	number int64
-	task   string
-	id     job.TaskID
-	run    int
-	how    job.End
+	*taskRun
+	how job.End
 }
 
-func newInstance(c *checker, id string, runTime time.Duration) *instance {
-	i := &instance{checker: c, id: id, runTime: runTime}
-	i.restart()
-	return i
+// restart loses all runs and state and starts a new incarnation of a kind under the
+// same name.
+func (i *instance) restart(kind int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range i.runs {
+		i.checker.ended(i, r, job.EndLost)
+		i.gangs.left(r, job.EndLost)
+	}
+	i.cpu, i.label, i.drainingSince = kindCPUs[kind], labels[kind], time.Time{}
+	i.startedAt, i.fence, i.leaseUntil, i.lastEnd = time.Now(), 0, 0, 0
+	i.runs, i.lastRun, i.unackedEnds = map[job.TaskID]*taskRun{}, map[job.TaskID]int{}, nil
+	i.restarts++
 }
 
-// restart loses all runs and state and starts a new incarnation under the same
-// name.
-func (i *instance) restart() {
+// entry returns the instance's entry of the registry.
+func (i *instance) entry() []byte {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for task, r := range i.runs {
-		i.checker.ended(i.id, r.id, task, job.EndLost)
+	state := "ready"
+	if !i.drainingSince.IsZero() {
+		state = "draining"
 	}
-	i.startedAt, i.fence, i.leaseUntil, i.lastEnd = time.Now(), 0, 0, 0
-	i.runs, i.lastRun, i.unackedEnds = map[string]*taskRun{}, map[string]int{}, nil
+	data, err := json.Marshal(map[string]any{
+		"service": i.pool, "address": i.address, "zone": "z", "state": state, "labels": []string{i.label, "rack-" + i.id},
+		"capacity": map[string]int{"cpu": i.cpu, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
+	})
+	if err != nil {
+		panic(err) // strings and numbers can be encoded
+	}
+	return data
+}
+
+// usedCPU returns what the runs use. The caller holds i.mu.
+func (i *instance) usedCPU() int {
+	used := 0
+	for _, r := range i.runs {
+		used += r.step().cpu
+	}
+	return used
 }
 
 // clockMS returns the instance's monotonic clock in milliseconds.
@@ -85,21 +144,29 @@
 // endDueRuns ends the runs whose lease has expired or whose run time is over. The
 // caller holds i.mu.
 func (i *instance) endDueRuns() {
-	for task, r := range i.runs {
+	for _, r := range i.runs {
 		switch {
 		case i.clockMS() > i.leaseUntil:
-			i.end(task, r, job.EndLapsed)
-		case time.Since(r.startedAt) >= i.runTime:
-			i.end(task, r, job.EndDone)
+			i.end(r, job.EndLapsed)
+		case r.step().gang:
+			if how := i.gangs.end(r, i.runTime); how != "" {
+				i.end(r, how)
+			}
+		case time.Since(r.startedAt) >= r.duration(i.runTime):
+			i.end(r, r.outcome())
 		}
 	}
 }
 
-func (i *instance) end(task string, r *taskRun, how job.End) {
-	delete(i.runs, task)
+func (i *instance) end(r *taskRun, how job.End) {
+	delete(i.runs, r.id)
 	i.lastEnd++
-	i.unackedEnds = append(i.unackedEnds, runEnd{number: i.lastEnd, task: task, id: r.id, run: r.run, how: how})
-	i.checker.ended(i.id, r.id, task, how)
+	i.unackedEnds = append(i.unackedEnds, runEnd{number: i.lastEnd, taskRun: r, how: how})
+	i.gangs.left(r, how)
+	i.checker.ended(i, r, how)
+	if how == job.EndFailed {
+		i.checker.failed(r.id, r.run, false)
+	}
 }
 
 // orderBody is the body of all calls: times are in milliseconds, Deadline in ms of
@@ -158,6 +225,9 @@
 func (i *instance) start(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	i.mu.Lock()
 	delay, startedAt := i.startDelay, i.startedAt
+	if delay > 0 {
+		i.delayed++
+	}
 	i.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() { i.startUnlessRestarted(startedAt, o) })
@@ -187,40 +257,41 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	id, err := platform.ParseTaskName(o.Task)
+	plan := i.checker.plan(id.Job)
 	switch {
-	case err != nil:
+	case err != nil, plan == nil, id.Step >= len(plan.steps), id.Index >= plan.steps[id.Step].count:
+		i.checker.report("%s at %s: no such task", o.Task, i.id)
 		return "name"
 	case !i.admit(o):
 		return "fence"
 	}
-	if r := i.runs[o.Task]; r != nil && r.run == o.Run {
+	if r := i.runs[id]; r != nil && r.run == o.Run {
 		return ""
 	}
 	switch {
-	case o.Run <= i.lastRun[o.Task]:
+	case o.Run <= i.lastRun[id]:
 		return "old"
 	case o.Deadline <= i.clockMS():
 		return "late"
 	}
-	i.lastRun[o.Task] = o.Run
-	i.runs[o.Task] = &taskRun{id: id, run: o.Run, startedAt: time.Now()}
-	i.checker.started(i.id, id, o.Task, o.Run, o.Spec)
-	if used := len(i.runs) * taskCPU; used > instanceCPU {
-		i.checker.overCapacity(i.id, used, instanceCPU)
-	}
+	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now()}
+	i.lastRun[id], i.runs[id] = o.Run, r
+	i.gangs.joined(r)
+	i.checker.started(i, id, o.Run, o.Spec)
 	return ""
 }
 
 func (i *instance) stop(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.admit(o) {
+	id, err := platform.ParseTaskName(o.Task)
+	if err != nil || !i.admit(o) {
 		i.refuse(w, "fence")
 		return
 	}
-	i.lastRun[o.Task] = max(i.lastRun[o.Task], o.Run)
-	if r := i.runs[o.Task]; r != nil && r.run == o.Run {
-		i.end(o.Task, r, job.EndStopped)
+	i.lastRun[id] = max(i.lastRun[id], o.Run)
+	if r := i.runs[id]; r != nil && r.run == o.Run {
+		i.end(r, job.EndStopped)
 	}
 	writeJSON(w, map[string]any{"clock_ms": i.clockMS()})
 }
@@ -262,7 +333,9 @@
 		case e.number > cursor:
 			kept = append(kept, e)
 		case e.how == job.EndDone:
-			i.checker.endAcknowledged(e.task)
+			i.checker.endAcknowledged(e.id)
+		case e.how == job.EndFailed:
+			i.checker.failed(e.id, e.run, true)
 		}
 	}
 	i.unackedEnds = kept
@@ -274,11 +347,11 @@
 		return
 	}
 	running, ended := [][]any{}, [][]any{}
-	for task, r := range i.runs {
-		running = append(running, []any{task, r.run, "", int(100 * time.Since(r.startedAt) / i.runTime), taskCPU})
+	for id, r := range i.runs {
+		running = append(running, []any{platform.TaskName(id), r.run, "", int(100 * time.Since(r.startedAt) / r.duration(i.runTime)), r.step().cpu})
 	}
-	for _, e := range i.unackedEnds {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+	for _, e := range i.unackedEnds[:min(len(i.unackedEnds), endsPerListing)] {
+		ended = append(ended, []any{e.number, platform.TaskName(e.id), e.run, e.how, ""})
 	}
 	writeJSON(w, map[string]any{"clock_ms": i.clockMS(), "born": i.startedAt.UnixMilli(), "running": running, "ended_runs": ended})
 }
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -18,9 +18,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/beryltide/beryltide/internal/memstore"
-	"github.com/beryltide/beryltide/internal/pause"
 )
 
 const (
@@ -37,11 +34,31 @@
 
 func main() {
 	seeds := flag.String("seeds", "1", "the seeds, as FROM-TO or a list")
-	length := flag.Duration("length", 15*time.Second, "how long faults are injected")
-	parallel := flag.Int("parallel", 3, "number of seeds that run at a time")
-	dir := flag.String("dir", "", "directory for settings and logs; a temporary one by default")
+	o := options{settle: settleTimeout}
+	flag.DurationVar(&o.length, "length", 16*time.Second, "how long faults are injected")
+	flag.IntVar(&o.parallel, "parallel", 3, "number of seeds that run at a time")
+	flag.StringVar(&o.dir, "dir", "", "directory for settings and logs; a temporary one by default")
+	flag.BoolVar(&o.allJudges, "all-judges", false, "fail if a judge has nothing to judge in all seeds together")
+	flag.StringVar(&o.binary, "daemon", "", "the daemon's program; built from the sources by default")
+	largest := flag.String("largest", "", `a large job beside the others: "large", or "at the limit" of what the product accepts`)
 	flag.Parse()
-	os.Exit(runSeeds(parseSeeds(*seeds), *length, *parallel, *dir))
+	o.largest = jobKind(*largest)
+	os.Exit(runSeeds(o, parseSeeds(*seeds)))
+}
+
+// options are the command's flags.
+type options struct {
+	length    time.Duration
+	parallel  int
+	dir       string
+	binary    string
+	allJudges bool
+	// settle is how long accepted jobs may take after the last fault.
+	settle time.Duration
+	// prepare changes a seed's harness before its daemons start; nil if it needn't.
+	prepare func(*harness)
+	// largest is the kind of a large job to submit beside the others; empty for none.
+	largest jobKind
 }
 
 func parseSeeds(text string) []uint64 {
@@ -64,43 +81,47 @@
 	return out
 }
 
-// runSeeds runs the seeds, parallel at a time, and returns the exit code.
-func runSeeds(seeds []uint64, length time.Duration, parallel int, dir string) int {
-	if dir == "" {
+// runSeeds runs the seeds, some at a time, and returns the exit code.
+func runSeeds(o options, seeds []uint64) int {
+	if o.dir == "" {
 		var err error
-		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+		if o.dir, err = os.MkdirTemp("", "soak"); err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			return 2
 		}
 	}
-	binary := filepath.Join(dir, "beryltided")
-	if out, err := exec.Command("go", "build", "-o", binary, "./cmd/beryltided").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "soak: build: %s\n", out)
-		return 2
+	if o.binary == "" {
+		o.binary = filepath.Join(o.dir, "beryltided")
+		if out, err := exec.Command("go", "build", "-o", o.binary, "./cmd/beryltided").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "soak: build: %s\n", out)
+			return 2
+		}
 	}
 	shutDownOnSignal()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	failed := 0
-	slots := make(chan struct{}, parallel)
+	failed, together := 0, counts{exercised: map[judge]int{}}
+	slots := make(chan struct{}, o.parallel)
 	for _, seed := range seeds {
 		slots <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			defer func() { <-slots }()
-			report, ok := runSeed(seed, length, filepath.Join(dir, fmt.Sprint(seed)), binary)
+			report, n, ok := runSeed(o, seed, filepath.Join(o.dir, fmt.Sprint(seed)), o.binary)
 			mu.Lock()
 			defer mu.Unlock()
 			fmt.Print(report)
 			if !ok {
 				failed++
 			}
-		}()
+			for j, count := range n.exercised {
+				together.exercised[j] += count
+			}
+		})
 	}
 	wg.Wait()
-	fmt.Printf("%d passed, %d failed\n", len(seeds)-failed, failed)
-	if failed > 0 {
+	missing := together.notExercised()
+	fmt.Printf("not exercised in any seed: %q\n%d passed, %d failed\n", missing, len(seeds)-failed, failed)
+	if failed > 0 || o.allJudges && len(missing) > 0 {
 		return 1
 	}
 	return 0
@@ -123,61 +144,79 @@
 	}()
 }
 
-// runSeed runs one seed and returns its report and whether all promises were kept.
-func runSeed(seed uint64, length time.Duration, dir, binary string) (string, bool) {
+// runSeed runs one seed and returns its report, its counts and whether all promises
+// were kept.
+func runSeed(o options, seed uint64, dir, binary string) (string, counts, bool) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return fmt.Sprintf("seed %d: %s\n", seed, err), false
+		return fmt.Sprintf("seed=%d error=%q\n", seed, err), counts{}, false
 	}
 	random := rand.New(rand.NewPCG(seed, 0))
-	h, err := newHarness(seed, dir, binary, time.Duration(100+random.IntN(500))*time.Millisecond)
+	h, err := newHarness(seed, dir, binary, time.Duration(100+random.IntN(500))*time.Millisecond, o.prepare)
+	if h != nil {
+		activeHarnesses.Store(h, true)
+		defer func() {
+			activeHarnesses.Delete(h)
+			h.shutDown()
+		}()
+	}
 	if err != nil {
-		return fmt.Sprintf("seed %d: %s\n", seed, err), false
+		return fmt.Sprintf("seed=%d error=%q\n", seed, err), counts{}, false
 	}
-	activeHarnesses.Store(h, true)
-	defer func() {
-		activeHarnesses.Delete(h)
-		h.shutDown()
-	}()
 	time.Sleep(startupTime)
-	ctx, cancel := context.WithTimeout(context.Background(), length)
+	schedule := h.disturb(o, random)
+	violations, n := h.checker.result()
+	if unfinished := h.checker.unfinished(); len(unfinished) > 0 {
+		// The stacks that SIGQUIT writes to the logs show whether a daemon is stuck.
+		h.eachDaemon(func(d *process) { d.signal(syscall.SIGQUIT) })
+		time.Sleep(settleInterval)
+		violations = append(violations, fmt.Sprintf("%d accepted jobs didn't end, the first %s", len(unfinished), unfinished[0]))
+	}
+	shortfalls := n.shortfalls()
+	report := fmt.Sprintf("seed=%d %s broken=%d not_exercised=%q\n", seed, n.text(), len(violations), n.notExercised())
+	if len(violations) == 0 && len(shortfalls) == 0 {
+		return report, n, true
+	}
+	return report + "  schedule:\n    " + strings.Join(schedule, "\n    ") +
+		"\n  too little work:\n    " + strings.Join(shortfalls, "\n    ") +
+		"\n  broken:\n    " + strings.Join(violations[:min(len(violations), maxPrintedViolations)], "\n    ") + "\n  logs: " + dir + "\n", n, false
+}
+
+// disturb lets callers work while faults are injected, undoes these, waits for the
+// jobs to end and returns the schedule of the faults.
+func (h *harness) disturb(o options, random *rand.Rand) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), o.length)
 	defer cancel()
 	var wg sync.WaitGroup
 	var all []*caller
 	for n := range callerCount {
-		c := newCaller(h, seed, n)
+		c := newCaller(h, h.seed, n)
 		all = append(all, c)
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c.run(ctx)
-		}()
+		var first []jobKind
+		for k := n; k < len(rareKinds); k += callerCount {
+			first = append(first, rareKinds[k])
+		}
+		if n == callerCount-1 && o.largest != "" {
+			first = append(first, o.largest)
+		}
+		wg.Go(func() { c.run(ctx, first) })
 	}
 	schedule := h.injectFaults(ctx, random)
 	wg.Wait()
-	h.settle(all)
-	violations := h.checker.violationTexts()
-	if unfinished := h.checker.unfinished(); len(unfinished) > 0 {
-		// The stacks that SIGQUIT writes to the logs show whether a daemon is stuck.
-		h.eachDaemon(func(d *process) { d.signal(syscall.SIGQUIT) })
-		time.Sleep(settleInterval)
-		violations = append(violations, fmt.Sprintf("%d accepted jobs didn't end, the first %s", len(unfinished), unfinished[0]))
-	}
-	line := fmt.Sprintf("seed %d: %d jobs, %d starts, %d faults injected: %d promises broken\n", seed, len(h.checker.jobs), h.checker.startCount, len(schedule), len(violations))
-	if len(violations) == 0 {
-		return line, true
-	}
-	return line + "  schedule:\n    " + strings.Join(schedule, "\n    ") + "\n  broken:\n    " + strings.Join(violations[:min(len(violations), maxPrintedViolations)], "\n    ") + "\n  logs: " + dir + "\n", false
+	h.settle(all, o.settle)
+	all[0].checkWithdrawnKey()
+	return schedule
 }
 
-// settle queries the unfinished accepted jobs until they have ended, for at most
-// settleTimeout.
-func (h *harness) settle(all []*caller) {
-	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(settleInterval) {
+// settle queries the unfinished accepted jobs until they have ended, for at most a
+// time.
+func (h *harness) settle(all []*caller, timeout time.Duration) {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(settleInterval) {
 		unfinished := map[string]bool{}
 		for _, id := range h.checker.unfinished() {
 			unfinished[id] = true
 		}
 		if len(unfinished) == 0 {
+			h.checker.exercise(judgeEnds)
 			return
 		}
 		var wg sync.WaitGroup
@@ -191,96 +230,3 @@
 		wg.Wait()
 	}
 }
-
-// injectFaults draws faults until the context ends, undoes them all and returns the
-// schedule. Faults may overlap.
-func (h *harness) injectFaults(ctx context.Context, random *rand.Rand) []string {
-	start := time.Now()
-	var schedule []string
-	var wg sync.WaitGroup
-	for ctx.Err() == nil {
-		f := h.drawFault(random)
-		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
-		schedule = append(schedule, fmt.Sprintf("%6.2f s  %s for %s", time.Since(start).Seconds(), f.name, duration))
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f.begin()
-			pause.For(ctx, duration)
-			f.end()
-		}()
-		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
-	}
-	wg.Wait()
-	return schedule
-}
-
-// fault is a disruption: begin starts it and end undoes it.
-type fault struct {
-	name       string
-	begin, end func()
-}
-
-// drawFault draws a fault. The order and number of the draws fix a seed's schedule.
-func (h *harness) drawFault(random *rand.Rand) fault {
-	d := h.daemons[random.IntN(len(h.daemons))]
-	n := random.IntN(len(h.instances))
-	i, instanceProxy := h.instances[n], h.instanceProxies[n]
-	modes := []mode{slow, silent, oneWay, reset}
-	m := modes[random.IntN(len(modes))]
-	names := map[mode]string{slow: "slow", silent: "silent", oneWay: "cut one way", reset: "reset"}
-	faults := []fault{
-		{d.name + " killed", func() { d.signal(syscall.SIGKILL) }, func() { h.restartDaemon(d) }},
-		{d.name + " terminated", func() { d.signal(syscall.SIGTERM) }, func() { h.restartDaemon(d) }},
-		{d.name + " paused", func() { d.signal(syscall.SIGSTOP) }, func() { d.signal(syscall.SIGCONT) }},
-		{"all daemons killed", func() { h.eachDaemon(func(d *process) { d.signal(syscall.SIGKILL) }) }, func() { h.eachDaemon(h.restartDaemon) }},
-		{d.name + "'s link to the store " + names[m], func() { d.storeProxy.set(m) }, func() { d.storeProxy.set(pass) }},
-		{"all links to the store " + names[m], func() { h.eachDaemon(func(d *process) { d.storeProxy.set(m) }) }, func() { h.eachDaemon(func(d *process) { d.storeProxy.set(pass) }) }},
-		{i.id + "'s link " + names[m], func() { instanceProxy.set(m) }, func() { instanceProxy.set(pass) }},
-		{i.id + " restarts", func() { instanceProxy.set(reset); i.restart() }, func() { instanceProxy.set(pass) }},
-		{i.id + " executes starts late", func() { i.setStartDelay(1500 * time.Millisecond) }, func() { i.setStartDelay(0) }},
-		{"the store loses answers to " + d.name, func() { d.storeClient.SetFault(loseAppendAnswers(random.Uint64())) }, func() { d.storeClient.SetFault(nil) }},
-		{"the store compacts its topics", h.store.Compact, func() {}},
-		{"the store reassigns the units", func() { h.store.Reassign("owners") }, func() {}},
-	}
-	return faults[random.IntN(len(faults))]
-}
-
-func (h *harness) eachDaemon(do func(*process)) {
-	for _, d := range h.daemons {
-		do(d)
-	}
-}
-
-// restartDaemon ends a daemon, if it still runs, and starts it again. Concurrent
-// faults restart it one after the other.
-func (h *harness) restartDaemon(d *process) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.signal(syscall.SIGCONT)
-	d.signal(syscall.SIGTERM)
-	if err := d.restart(h.binary); err != nil {
-		fmt.Fprintln(os.Stderr, d.name, err)
-	}
-}
-
-func (i *instance) setStartDelay(d time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.startDelay = d
-}
-
-// loseAppendAnswers returns a fault function that loses a quarter of the answers to
-// appends, drawn from the seed.
-func loseAppendAnswers(seed uint64) func(string) memstore.Fault {
-	random := rand.New(rand.NewPCG(seed, 1))
-	var mu sync.Mutex
-	return func(call string) memstore.Fault {
-		mu.Lock()
-		defer mu.Unlock()
-		if call == "append" && random.IntN(4) == 0 {
-			return memstore.LoseAnswer
-		}
-		return memstore.None
-	}
-}
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -13,6 +13,11 @@
 // mode is what a proxy does to the connections through it.
 type mode int
 
+// String returns the mode as part of a fault's name.
+func (m mode) String() string {
+	return [...]string{"normal", "slow", "silent", "cut one way", "reset"}[m]
+}
+
 // The modes.
 const (
 	// pass forwards data unchanged.
@@ -42,6 +47,8 @@
 	mu       sync.Mutex
 	mode     mode
 	conns    map[net.Conn]bool
+	// affected counts by mode the connections and chunks of data that it concerned.
+	affected map[mode]int
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -49,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, affected: map[mode]int{}}
 	go p.accept()
 	return p, nil
 }
@@ -62,6 +69,19 @@
 	return p.mode
 }
 
+// affectedBy returns how often a mode concerned a connection or data.
+func (p *proxy) affectedBy(m mode) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.affected[m]
+}
+
+func (p *proxy) countAffected(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.affected[m]++
+}
+
 // set changes the mode. It closes the connections that held data back, so that
 // these data are lost.
 func (p *proxy) set(m mode) {
@@ -70,6 +90,9 @@
 	if m == reset || p.mode == silent || p.mode == oneWay {
 		for c := range p.conns {
 			_ = c.Close()
+			if m == reset {
+				p.affected[m]++
+			}
 		}
 	}
 	p.mode = m
@@ -88,6 +111,7 @@
 func (p *proxy) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
 	if p.currentMode() == reset {
+		p.countAffected(reset)
 		return
 	}
 	server, err := net.Dial("tcp", p.target)
@@ -126,7 +150,11 @@
 		if err != nil {
 			return
 		}
-		if p.currentMode() == slow {
+		m := p.currentMode()
+		if m == slow || held(m) {
+			p.countAffected(m)
+		}
+		if m == slow {
 			time.Sleep(slowDelay)
 		}
 		for held(p.currentMode()) {
--- a/tools/soak/store.go
+++ b/tools/soak/store.go
@@ -18,6 +18,8 @@
 // the fake store.
 type storeServer struct {
 	client *memstore.Client
+	// silent leaves all calls without an answer.
+	silent bool
 }
 
 func (s *storeServer) handler() http.Handler {
@@ -28,6 +30,9 @@
 	mux.HandleFunc("POST /log-join", s.join)
 	mux.HandleFunc("POST /log-leave", s.leave)
 	mux.HandleFunc("GET /log-owners", s.owners)
+	if s.silent {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	}
 	return mux
 }
 
