--- a/tools/soak/processes.go
+++ b/tools/soak/processes.go
@@ -105,20 +105,6 @@
 	return strings.HasPrefix(state, "T")
 }
 
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
-	l := p.life.Load()
-	if l == nil {
-		return true
-	}
-	select {
-	case <-l.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // wait waits for the process to end.
 func (p *process) wait() {
 	if l := p.life.Load(); l != nil {
