Waiting for another caller's read of the queues' units ends with the caller's time

Cause: callers of Refresh waited for a mutex held during a call to the store. In the test's virtual time such a wait isn't seen as blocked, so the clock stood still; in a daemon, each call to a store that doesn't answer would have held up those behind it one after another for longer than their callers wait.

The read is guarded by a channel, so that a waiter gives up with its context. TestRefreshGivesUpInTime stands still with the mutex.

--- a/internal/queueunits/queueunits.go
+++ b/internal/queueunits/queueunits.go
@@ -37,8 +37,9 @@
 	log   store.Log
 	clock bootclock.Clock
 
-	// reading is held during a read of Refresh.
-	reading sync.Mutex
+	// reading holds an entry during a read of Refresh. A caller that waits for it may
+	// give up, which it couldn't with a mutex.
+	reading chan struct{}
 
 	mu sync.Mutex
 	// units holds sorted units by record key.
@@ -49,7 +50,7 @@
 
 // New returns an empty map. The clock must be the boot clock.
 func New(log store.Log, clock bootclock.Clock) *Map {
-	return &Map{log: log, clock: clock, units: map[string][]int{}, readAt: -1}
+	return &Map{log: log, clock: clock, reading: make(chan struct{}, 1), units: map[string][]int{}, readAt: -1}
 }
 
 // Units returns the known units of a queue, sorted.
@@ -69,17 +70,18 @@
 // Refresh reads all units from the store, unless a read has begun since a time on the
 // boot clock. Concurrent calls share reads.
 func (m *Map) Refresh(ctx context.Context, since time.Duration) error {
-	m.reading.Lock()
-	defer m.reading.Unlock()
+	select {
+	case m.reading <- struct{}{}:
+		defer func() { <-m.reading }()
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "read the units of queues")
+	}
 	m.mu.Lock()
 	fresh := m.readAt >= 0 && m.readAt >= since
 	m.mu.Unlock()
 	if fresh {
 		return nil
 	}
-	if ctx.Err() != nil {
-		return errors.Wrap(ctx.Err(), "read the units of queues")
-	}
 	_, err := m.read(ctx)
 	return err
 }
--- a/internal/queueunits/queueunits_test.go
+++ b/internal/queueunits/queueunits_test.go
@@ -41,3 +41,22 @@
 		is.Equal(decode([]byte("3,x,-1,7")), []int{3, 7})
 	})
 }
+
+// Guards against callers that wait for another caller's read for longer than they have
+// time, as while the store doesn't answer.
+func TestRefreshGivesUpInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(1)
+		s.Latency = time.Minute
+		m := New(s.Client(), func() time.Duration { return time.Hour })
+		go func() { is.NoErr(m.Refresh(context.Background(), 0)) }()
+		time.Sleep(time.Second)
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		is.True(m.Refresh(ctx, 0) != nil)
+		is.Equal(time.Since(begin), time.Second)
+		time.Sleep(time.Hour)
+	})
+}
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -91,6 +91,9 @@
 		if n < len(first) {
 			kind = first[n]
 		}
+		if c.name == 0 && n%4 == 3 && !c.harness.checker.seenEffect(cutKind) {
+			kind = manyEnds
+		}
 		queues := c.harness.operator.queues
 		c.submit(ctx, drawPlan(c.random, fmt.Sprintf("%08x%08x", c.name+1, n), kind, queues[c.random.IntN(len(queues))]))
 		if len(c.jobs) > 0 && c.random.IntN(4) == 0 {
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -91,6 +91,13 @@
 	c.counts.effective[kind]++
 }
 
+// seenEffect reports whether a fault of a kind has taken effect.
+func (c *checker) seenEffect(kind string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts.effective[kind] > 0
+}
+
 // result returns a copy of the violations and the counts so far.
 func (c *checker) result() ([]string, counts) {
 	c.mu.Lock()
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -85,11 +85,13 @@
 	h.operator.moveQueue()
 }
 
+// cutKind is the kind of the fault of cutWithManyEnds.
+const cutKind = "cut with many ends"
+
 // cutWithManyEnds cuts off an instance while more tasks end there than it lists at
 // once, for less than its lease.
 func (h *harness) cutWithManyEnds(ctx context.Context) {
-	const kind = "cut with many ends"
-	h.checker.drew(kind)
+	h.checker.drew(cutKind)
 	for ctx.Err() == nil {
 		for n, i := range h.instances {
 			i.mu.Lock()
@@ -105,7 +107,7 @@
 			i.mu.Unlock()
 			h.instanceProxies[n].set(pass)
 			if unlisted {
-				h.checker.tookEffect(kind)
+				h.checker.tookEffect(cutKind)
 				return
 			}
 		}
@@ -133,7 +135,7 @@
 		},
 		func() fault { return linkFault("link of an instance", h.instances[n].id+"'s", m, h.instanceProxies[n]) },
 		func() fault { return h.restartFault(n, false) },
-		func() fault { return h.restartFault(n, true) },
+		func() fault { return h.restartFault(len(h.instances)-1-n%2, true) },
 		func() fault { return lateFault(h.instances[n]) },
 		func() fault { return lostAnswersFault(d, lost) },
 		h.compactFault,
@@ -212,7 +214,8 @@
 }
 
 // restartFault restarts an instance, as its own or the other kind. Its entry shows the
-// new incarnation a little later than it can be reached.
+// new incarnation a little later than it can be reached. The last instance of each pool
+// alone changes its kind: jobs may need either label.
 func (h *harness) restartFault(n int, otherKind bool) fault {
 	i, instanceProxy := h.instances[n], h.instanceProxies[n]
 	what := "instance restarts"
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -169,7 +169,7 @@
 		// The stacks that SIGQUIT writes to the logs show whether a daemon is stuck.
 		h.eachDaemon(func(d *process) { d.signal(syscall.SIGQUIT) })
 		time.Sleep(settleInterval)
-		violations = append(violations, fmt.Sprintf("%d accepted jobs didn't end, the first %s", len(unfinished), unfinished[0]))
+		violations = append([]string{fmt.Sprintf("%d accepted jobs didn't end, the first %s", len(unfinished), unfinished[0])}, violations...)
 	}
 	shortfalls := n.shortfalls()
 	report := fmt.Sprintf("seed=%d %s broken=%d not_exercised=%q\n", seed, n.text(), len(violations), n.notExercised())
