--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -32,8 +32,8 @@
 )
 
 // appendWithRetry stores a record in the partition of a unit, which is looked up for
-// each attempt, with retries until the context ends. It returns ErrNotRun only if no attempt may have taken effect, and ErrMayRun
-// otherwise.
+// each attempt, with retries until the context ends. It returns ErrNotRun only if no
+// attempt may have taken effect, and ErrMayRun otherwise.
 func (s *Service) appendWithRetry(ctx context.Context, unitOf func() int, r store.Record) error {
 	uncertain := false
 	for {
--- a/internal/intake/batch.go
+++ b/internal/intake/batch.go
@@ -35,7 +35,8 @@
 }
 
 // append stores records with the next call of a function for their unit, which stores
-// records of at most a limit, in bytes, and returns its result. If the context ends first, it is unknown whether they are stored.
+// records of at most a limit, in bytes, and returns its result. If the context ends
+// first, it is unknown whether they are stored.
 func (b *batcher) append(ctx context.Context, unit int, records []store.Record, limit int, send func(int, []store.Record) error) error {
 	p := pendingRecords{records: records, done: make(chan error, 1)}
 	entry, _ := b.batches.LoadOrStore(unit, &batch{})
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -294,8 +294,8 @@
 	return out
 }
 
-// drains records that an instance drains from now on.
-func (c *checker) drains() {
+// beginDrain records that an instance drains from now on.
+func (c *checker) beginDrain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drainingSince = time.Now()
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -21,8 +21,9 @@
 	end        func()
 }
 
-// drains is the instance that drains for good; no other fault concerns it.
-const drains = 0
+// drainingInstance is the index of the instance that drains for good; no other fault
+// concerns it.
+const drainingInstance = 0
 
 // drainAfter is when it begins to drain.
 const drainAfter = time.Second
@@ -75,11 +76,11 @@
 	pause.For(ctx, withdrawAfter)
 	h.operator.withdrawKey()
 	pause.For(ctx, drainAfter-withdrawAfter)
-	i := h.instances[drains]
+	i := h.instances[drainingInstance]
 	i.mu.Lock()
 	i.drainingSince = time.Now()
 	i.mu.Unlock()
-	h.checker.drains()
+	h.checker.beginDrain()
 	h.list(i)
 	pause.For(ctx, moveAfter-drainAfter)
 	h.operator.moveQueue()
@@ -118,7 +119,7 @@
 // drawFault draws a fault. The order and number of the draws fix a seed's schedule.
 func (h *harness) drawFault(random *rand.Rand) fault {
 	d := h.daemons[random.IntN(len(h.daemons))]
-	n := drains + 1 + random.IntN(len(h.instances)-drains-1)
+	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-1)
 	modes := []mode{slow, silent, oneWay, reset}
 	m := modes[random.IntN(len(modes))]
 	lost := random.Uint64()
