A team's limit is divided by max-min fairness among what pools could run

Cause: let owners claim only for tasks that find room now. A pool at its peak, full while machines are on their way to it, then claims nothing, and its team's grant there follows by up to a round of the leader after they arrive.

In proportion, TestSmallClaimsAreMetBesideLargeOnes gets 0 of 20.

--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -140,33 +140,21 @@
 	return uses
 }
 
-// waitingByTeam returns the need of the waiting tasks that could start now but for
-// their team's grant. What can't start, for now or ever, must not take a part of the
-// team's limit from pools where it could be used.
+// waitingByTeam returns the need of the waiting tasks that the pool could run. What it
+// can't, or the team may never run, must not take a part of the team's limit from pools
+// where it could be used.
 func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]job.Resources {
-	nodes := u.nodes(pool, now)
-	free := schedule.TotalFree(nodes)
-	waiting, backfill := map[string]job.Resources{}, map[string]job.Resources{}
-	for _, candidate := range schedule.Startable(u.waiting[pool], nodes) {
+	waiting := map[string]job.Resources{}
+	for _, candidate := range schedule.Runnable(u.waiting[pool], u.nodes(pool, now)) {
 		e := u.jobs[candidate.Job]
 		if e == nil || candidate.Class == schedule.NoValue {
 			continue
 		}
-		team, need := e.job.Submission.Team, candidate.Step.Need.Times(len(candidate.Tasks))
+		team := e.job.Submission.Team
 		if t := c.Teams[team]; t != nil && !withinLimit(candidate, t.Limit) {
 			continue
 		}
-		if candidate.Step.Fills {
-			backfill[team] = backfill[team].Add(need)
-		} else {
-			waiting[team] = waiting[team].Add(need)
-		}
-	}
-	for team, need := range waiting {
-		waiting[team] = job.Resources{CPU: min(need.CPU, free.CPU), Memory: min(need.Memory, free.Memory), GPU: min(need.GPU, free.GPU)}
-	}
-	for team, need := range backfill {
-		waiting[team] = waiting[team].Add(need)
+		waiting[team] = waiting[team].Add(candidate.Step.Need.Times(len(candidate.Tasks)))
 	}
 	return waiting
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/beryltide/beryltide/internal/job"
 )
@@ -24,8 +25,8 @@
 	Held job.Resources
 	// Running is the need of recorded runs.
 	Running job.Resources
-	// Waiting is the need of the tasks that could start now but for the grant, except
-	// those of jobs without value left.
+	// Waiting is the need of the tasks that are ready to start and that the pool could
+	// run, except those of jobs without value left.
 	Waiting job.Resources
 }
 
@@ -119,23 +120,41 @@
 func gpu(r job.Resources) int    { return r.GPU }
 
 // target returns a pool's share of a team's limit: its running tasks, its waiting
-// tasks (in proportion to those of all pools if not all fit), and an even part of
-// the rest.
+// tasks (by max-min fairness if those of all pools don't fit), and an even part of the
+// rest.
 func (l *Ledger) target(pool, team string, limit job.Resources, pools []string, of dimension) int {
 	running, waiting := 0, 0
+	var claims []int
 	for _, other := range pools {
 		use := l.reported[other][team]
 		running += of(use.Running)
 		waiting += of(use.Waiting)
+		claims = append(claims, of(use.Waiting))
 	}
 	own := l.reported[pool][team]
 	left := max(of(limit)-running, 0)
 	if waiting > left {
-		return of(own.Running) + int(float64(left)*float64(of(own.Waiting))/float64(waiting))
+		return of(own.Running) + fairShare(left, of(own.Waiting), claims)
 	}
 	return of(own.Running) + of(own.Waiting) + (left-waiting)/max(len(pools), 1)
 }
 
+// fairShare returns the share of one of several claims by max-min fairness: claims up to
+// an even part are met in full, and the larger ones share what is left evenly. A claim in
+// proportion to all of them could be met with less than one task for as long as a much
+// larger one isn't used up.
+func fairShare(total, claim int, claims []int) int {
+	slices.Sort(claims)
+	for n, c := range claims {
+		even := total / (len(claims) - n)
+		if c >= claim || c > even {
+			return min(claim, even)
+		}
+		total -= c
+	}
+	return min(claim, total)
+}
+
 func componentMax(a, b job.Resources) job.Resources {
 	return job.Resources{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPU: max(a.GPU, b.GPU)}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,6 +33,23 @@
 	is.True(l.Grants("a", limits(100), pools)[team].CPU >= 85)
 }
 
+// Guards against a pool that waits for little and gets less than a task, while a claim
+// many times as large in another pool isn't used.
+func TestSmallClaimsAreMetBesideLargeOnes(t *testing.T) {
+	is := is.New(t)
+	pools := []string{"a", "b", "c"}
+	l := NewLedger()
+	l.Confirm("a", 1, use(0, 0, 3200))
+	l.Confirm("b", 1, use(0, 0, 20))
+	l.Confirm("c", 1, use(0, 0, 5000))
+	is.Equal(l.Grants("b", limits(100), pools)[team].CPU, 20)
+	is.Equal(l.Grants("a", limits(100), pools)[team].CPU, 40)
+	is.Equal(l.Grants("c", limits(100), pools)[team].CPU, 40)
+	for _, c := range []struct{ total, claim, want int }{{100, 0, 0}, {100, 33, 33}, {100, 40, 33}, {0, 40, 0}, {1, 40, 0}} {
+		is.Equal(fairShare(c.total, c.claim, []int{50, 60, c.claim}), c.want)
+	}
+}
+
 func TestNoGrantRisesBeforeAllOwnersReported(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
--- /dev/null
+++ b/internal/schedule/runnable.go
@@ -0,0 +1,43 @@
+package schedule
+
+import "github.com/beryltide/beryltide/internal/job"
+
+// Runnable returns the candidates that the nodes could run if they were empty: a node is
+// large enough for one of the tasks and allowed, and all nodes together are large enough
+// for a gang. An allowance for other candidates would stay unused.
+func Runnable(candidates []*Candidate, nodes []*Node) []*Candidate {
+	var capacity job.Resources
+	for _, n := range nodes {
+		capacity = capacity.Add(n.Capacity)
+	}
+	known := map[shape]bool{}
+	var out []*Candidate
+	for _, c := range candidates {
+		if c.Step.Gang && !c.Step.Allocation().Times(len(c.Tasks)).Fits(capacity) {
+			continue
+		}
+		if c.Step.PerInstance > 0 || c.Tickets != nil {
+			if c.runsOn(nodes) {
+				out = append(out, c)
+			}
+			continue
+		}
+		s := shapeOf(c.Step)
+		if _, seen := known[s]; !seen {
+			known[s] = c.runsOn(nodes)
+		}
+		if known[s] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (c *Candidate) runsOn(nodes []*Node) bool {
+	for _, n := range nodes {
+		if c.Step.Allocation().Fits(n.Capacity) && c.feasible(n) {
+			return true
+		}
+	}
+	return false
+}
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -84,14 +84,15 @@
 	return c.call(d, keyInForce, method, p.queue.path+p.id, body)
 }
 
-// run submits jobs until the context ends, beginning with the given kinds.
+// run submits jobs until the context ends, beginning with the given kinds, each until one
+// is accepted.
 func (c *caller) run(ctx context.Context, first []jobKind) {
 	for n := 0; ctx.Err() == nil; n++ {
 		kind := drawKind(c.random)
-		if n < len(first) {
-			kind = first[n]
+		if len(c.jobs) < len(first) {
+			kind = first[len(c.jobs)]
 		}
-		if c.name == 0 && n%4 == 3 && !c.harness.checker.seenEffect(cutKind) {
+		if c.name == 0 && len(c.jobs) >= len(first) && n%4 == 3 && !c.harness.checker.seenEffect(cutKind) {
 			kind = manyEnds
 		}
 		queues := c.harness.operator.queues
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -31,7 +31,7 @@
 const (
 	// effectTimeout is how much longer a fault lasts that hasn't taken effect yet: no call
 	// may have come by, or another fault has ended the process.
-	effectTimeout  = 6 * time.Second
+	effectTimeout  = 12 * time.Second
 	effectInterval = 50 * time.Millisecond
 )
 
@@ -201,16 +201,16 @@
 		}
 		return sum
 	}
-	setAll := func(m mode) {
+	each := func(do func(*proxy, mode)) {
 		for _, p := range links {
-			p.set(m)
+			do(p, m)
 		}
 	}
 	return fault{
 		kind: what + " " + m.String(), name: whose + " " + what + " " + m.String(),
-		begin:  func() { before = affected(); setAll(m) },
+		begin:  func() { before = affected(); each((*proxy).set) },
 		effect: func() bool { return affected() > before },
-		end:    func() { setAll(pass) },
+		end:    func() { each((*proxy).unset) },
 	}
 }
 
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -98,6 +98,13 @@
 	p.mode = m
 }
 
+// unset ends a mode, unless another one has replaced it.
+func (p *proxy) unset(m mode) {
+	if p.currentMode() == m {
+		p.set(pass)
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
