The soak's callers work until its faults have taken effect

A fault drawn near the end waited for traffic that had ended.

Callers go on until all faults have ended, and late starts concern all instances of a pool.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -93,7 +93,8 @@
 // once, for less than its lease.
 func (h *harness) cutWithManyEnds(ctx context.Context) {
 	h.checker.drew(cutKind)
-	for ctx.Err() == nil {
+	drawn, _ := ctx.Deadline()
+	for time.Now().Before(drawn.Add(effectTimeout)) {
 		for n, i := range h.instances {
 			i.mu.Lock()
 			runs := len(i.runs)
@@ -112,7 +113,7 @@
 				return
 			}
 		}
-		pause.For(ctx, pollInterval)
+		time.Sleep(pollInterval)
 	}
 }
 
@@ -137,7 +138,7 @@
 		func() fault { return linkFault("link of an instance", h.instances[n].id+"'s", m, h.instanceProxies[n]) },
 		func() fault { return h.restartFault(n, false) },
 		func() fault { return h.restartFault(len(h.instances)-1-n%2, true) },
-		func() fault { return lateFault(h.instances[n]) },
+		func() fault { return h.lateFault(h.instances[n].pool) },
 		func() fault { return lostAnswersFault(d, lost) },
 		h.compactFault,
 		h.reassignFault,
@@ -250,17 +251,24 @@
 	}
 }
 
-func lateFault(i *instance) fault {
+// lateFault lets all instances of a pool execute starts late.
+func (h *harness) lateFault(pool string) fault {
 	const late = 1500 * time.Millisecond
 	set := func(d time.Duration) int {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.startDelay = d
-		return i.delayed
+		delayed := 0
+		for _, i := range h.instances {
+			i.mu.Lock()
+			if i.pool == pool {
+				i.startDelay = d
+			}
+			delayed += i.delayed
+			i.mu.Unlock()
+		}
+		return delayed
 	}
 	before := 0
 	return fault{
-		kind: "starts executed late", name: i.id + " executes starts late",
+		kind: "starts executed late", name: "instances of " + pool + " execute starts late",
 		begin: func() { before = set(late) }, effect: func() bool { return set(late) > before }, end: func() { set(0) },
 	}
 }
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -181,11 +181,13 @@
 		"\n  broken:\n    " + strings.Join(violations[:min(len(violations), maxPrintedViolations)], "\n    ") + "\n  logs: " + dir + "\n", n, false
 }
 
-// disturb lets callers work while faults are injected, undoes these, waits for the
-// jobs to end and returns the schedule of the faults.
+// disturb lets callers work while faults are injected and until these have taken effect,
+// waits for the jobs to end and returns the schedule of the faults.
 func (h *harness) disturb(o options, random *rand.Rand) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), o.length)
 	defer cancel()
+	working, stop := context.WithCancel(context.Background())
+	defer stop()
 	var wg sync.WaitGroup
 	var all []*caller
 	for n := range callerCount {
@@ -198,9 +200,10 @@
 		if n == callerCount-1 && o.largest != "" {
 			first = append(first, o.largest)
 		}
-		wg.Go(func() { c.run(ctx, first) })
+		wg.Go(func() { c.run(working, first) })
 	}
 	schedule := h.injectFaults(ctx, random)
+	stop()
 	wg.Wait()
 	h.settle(all, o.settle)
 	all[0].checkWithdrawnKey()
