--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -108,13 +108,16 @@
 	c.repeats.Wait()
 }
 
-// submit submits one job and repeats it until it is accepted, at most
-// submitAttempts times.
+// submit submits one job and repeats it until it is accepted, at most submitAttempts
+// times; some callers give up after one or two, so that refusals stand.
 func (c *caller) submit(ctx context.Context, p *jobPlan) {
 	body := p.body()
 	c.harness.checker.submitted(p)
-	refused := true
-	for attempt := range submitAttempts {
+	refused, attempts := true, submitAttempts
+	if c.random.IntN(4) == 0 {
+		attempts = 1 + c.random.IntN(2)
+	}
+	for attempt := range attempts {
 		if attempt > 0 && ctx.Err() != nil {
 			break
 		}
