A deployment may leave out the settings of parts that it doesn't use

Cause: two deployments have no bound for data centres taken out of service, the template rendered "evacuate_ms": }, and every daemon ended with code 2 at its start. Without a machine service the leader assigns grants only.

--- a/cmd/beryltided/fleet.go
+++ b/cmd/beryltided/fleet.go
@@ -87,7 +87,6 @@
 		RegistryTopic: platform.RegistryTopic,
 		StatusTopic:   platform.StatusTopic,
 		WaveStatus:    platform.WaveStatus,
-		Machines:      platform.NewMachines(s.Machines, s.ListsPerSecond),
 		Callers: func(service *intake.Service, view *fleetview.View) http.Handler {
 			return &platform.Callers{Intake: service, Catalog: view.Catalog, ConfigurationAge: view.ConfigurationAge, Logger: logger, OnResponse: countResponses(scope)}
 		},
@@ -95,6 +94,9 @@
 		Metrics:     scope,
 		MetricsPage: metricsPage,
 	}
+	if s.Machines != "" {
+		ports.Machines = platform.NewMachines(s.Machines, s.ListsPerSecond)
+	}
 	listeners := []struct {
 		addr string
 		to   *net.Listener
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -81,7 +81,8 @@
 	StatusTopic   string
 	// WaveStatus encodes a wave's status as a record of StatusTopic.
 	WaveStatus func(wave int64, completed bool) (key string, value []byte)
-	Machines   machine.Client
+	// Machines is nil in a deployment without a machine service.
+	Machines machine.Client
 	// Callers returns the HTTP handler of callers' requests.
 	Callers func(*intake.Service, *fleetview.View) http.Handler
 	Clock   bootclock.Clock
--- a/internal/fleetd/documented_test.go
+++ b/internal/fleetd/documented_test.go
@@ -47,6 +47,7 @@
 		{`"max_lease_ms":10000`, `"max_lease_ms":0`, "f.json: bounds.max_lease_ms: 0, want at least 1"},
 		{`"drain_ms":2000`, `"drain_ms":200`, "f.json: bounds.drain_ms: 200, want at least 1600"},
 		{`"lists_per_second":64`, `"lists_per_second":0`, "f.json: lists_per_second: 0, want more than 0"},
+		{`"peers":"127.0.0.1:3"`, `"peers":":"`, `f.json: peers: ":", want host:port`},
 		{`"grace_s":6`, `"grace_s":6,"harm_ms":1`, `f.json: json: unknown field "harm_ms"`},
 		{`"units":24`, `"units":24,"unit":1`, `f.json: json: unknown field "unit"`},
 	} {
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net"
 	"time"
@@ -26,7 +27,8 @@
 	Peers      string `json:"peers"`
 	Operations string `json:"operations"`
 	// Store, Machines and Advisor are addresses of the platform's services,
-	// host:port.
+	// host:port. Without Machines no machine is moved or maintained, and without Advisor
+	// no step of an advised queue starts.
 	Store    string `json:"store"`
 	Machines string `json:"machines"`
 	Advisor  string `json:"advisor"`
@@ -39,7 +41,7 @@
 	ProcessorShare float64 `json:"processor_share"`
 	// DutiesPerSecond and ListsPerSecond are the platform's limits on orders to
 	// machines and on readings of the list of machines, of which a list of many takes
-	// several, for all daemons together.
+	// several, for all daemons together. They are required with Machines.
 	DutiesPerSecond float64 `json:"duties_per_second"`
 	ListsPerSecond  float64 `json:"lists_per_second"`
 	// RecordBytes and CallBytes are the store's limits on a record and on the records of
@@ -78,7 +80,8 @@
 }
 
 // BoundSettings are the platform's time bounds; owner.Bounds documents those that
-// it takes over.
+// it takes over. A deployment leaves out the bounds of parts that it doesn't use; 0
+// stands for the default, except of MaxLeaseMS and GraceS, which are required.
 type BoundSettings struct {
 	MaxLeaseMS    int64   `json:"max_lease_ms"`
 	StopTimeoutMS int64   `json:"stop_timeout_ms"`
@@ -95,6 +98,24 @@
 	EvacuateMS int64 `json:"evacuate_ms"`
 }
 
+// defaultBounds apply to bounds that the settings leave out. They are the shortest
+// ones of the platform's documentation, and so the strictest.
+var defaultBounds = BoundSettings{
+	StopTimeoutMS: 1000, StatusKeptS: 120, MoveS: 1.5, MaintenanceS: 2, DutyLeaseMS: 3000,
+	CancelMS: 3000, DrainMS: 2000, EvacuateMS: 5000,
+}
+
+// withDefaults returns the bounds with defaults in place of those left out.
+func (b BoundSettings) withDefaults() BoundSettings {
+	d := defaultBounds
+	return BoundSettings{
+		MaxLeaseMS: b.MaxLeaseMS, GraceS: b.GraceS,
+		StopTimeoutMS: cmp.Or(b.StopTimeoutMS, d.StopTimeoutMS), StatusKeptS: cmp.Or(b.StatusKeptS, d.StatusKeptS),
+		MoveS: cmp.Or(b.MoveS, d.MoveS), MaintenanceS: cmp.Or(b.MaintenanceS, d.MaintenanceS), DutyLeaseMS: cmp.Or(b.DutyLeaseMS, d.DutyLeaseMS),
+		CancelMS: cmp.Or(b.CancelMS, d.CancelMS), DrainMS: cmp.Or(b.DrainMS, d.DrainMS), EvacuateMS: cmp.Or(b.EvacuateMS, d.EvacuateMS),
+	}
+}
+
 // Grace returns the time that the process has between the stop signal and its end.
 func (b BoundSettings) Grace() time.Duration { return seconds(b.GraceS) }
 
@@ -111,6 +132,7 @@
 	if err := dec.Decode(&s); err != nil {
 		return s, errors.Wrap(err, file)
 	}
+	s.Bounds = s.Bounds.withDefaults()
 	return s, errors.Wrap(s.validate(), file)
 }
 
@@ -118,9 +140,13 @@
 	for _, f := range []struct{ name, value string }{
 		{"callers", s.Callers}, {"readiness", s.Readiness}, {"peers", s.Peers}, {"operations", s.Operations}, {"store", s.Store},
 	} {
-		if _, _, err := net.SplitHostPort(f.value); err != nil {
+		host, port, err := net.SplitHostPort(f.value)
+		if err != nil {
 			return errors.Wrap(err, f.name)
 		}
+		if host == "" || port == "" {
+			return errors.Errorf("%s: %q, want host:port", f.name, f.value)
+		}
 	}
 	switch {
 	case s.Instance == "":
@@ -129,9 +155,9 @@
 		return errors.Errorf("units: %d, want at least 1", s.Units)
 	case s.MemoryMB < 1:
 		return errors.Errorf("memory_mb: %d, want at least 1", s.MemoryMB)
-	case s.DutiesPerSecond <= 0:
+	case s.Machines != "" && s.DutiesPerSecond <= 0:
 		return errors.Errorf("duties_per_second: %v, want more than 0", s.DutiesPerSecond)
-	case s.ListsPerSecond <= 0:
+	case s.Machines != "" && s.ListsPerSecond <= 0:
 		return errors.Errorf("lists_per_second: %v, want more than 0", s.ListsPerSecond)
 	case s.ProcessorShare <= 0:
 		return errors.Errorf("processor_share: %v, want more than 0", s.ProcessorShare)
--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -70,7 +70,9 @@
 // daemon holds the fleet's unit. Its unexported fields belong to the goroutine
 // that calls Run.
 type Controller struct {
-	Log      store.Log
+	Log store.Log
+	// Machines is nil in a deployment without a machine service: the controller then
+	// only assigns grants.
 	Machines machine.Client
 	Owners   PoolOwners
 	View     *fleetview.View
@@ -201,7 +203,7 @@
 	if configuration == nil {
 		return
 	}
-	if !takenOver {
+	if !takenOver || c.Machines == nil {
 		c.exchangeGrants(ctx, configuration, nil)
 		return
 	}
