Machines leave a pool whose peak has ended while its last tasks still run

Tasks of jobs without value left kept machines busy too. Pools without work kept their base size beside a pool with seconds of backlog. Change: what a pool needs for its long-running tasks and for its running (with value), waiting or forecast work is kept; further machines drain, those with the fewest runs first. Beside a backlog of over 2 s pools lend half of their base size.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -28,7 +28,7 @@
 func (u *Unit) demand(pool string, now time.Time) rebalance.Demand {
 	d := rebalance.Demand{Instances: map[string]rebalance.Instance{}}
 	outOfService := u.View.OperatorState().OutOfService
-	var lasting occupancy
+	var lasting, busy occupancy
 	for id, sess := range u.sessions {
 		if sess.reg.Pool != pool || !sess.listed {
 			continue
@@ -36,6 +36,7 @@
 		d.Instances[id] = sess.describe(now, outOfService[sess.reg.DataCentre])
 		if !sess.unreachable {
 			lasting = lasting.add(allocated(sess.usage.longRunningAllocation, sess.reg.Capacity), 1)
+			busy = busy.add(allocated(sess.usage.valuedAllocation(), sess.reg.Capacity), 1)
 		}
 	}
 	if a := u.arrivals[pool]; a != nil {
@@ -46,7 +47,7 @@
 		d.UsableCPU += n.Capacity.CPU
 		d.FreeCPU += freeCPU(n.Free, n.Capacity, smallest)
 	}
-	d.LastingCPU = lasting.largest()
+	d.LastingCPU, d.BusyCPU = lasting.largest(), busy.largest()
 	return d
 }
 
@@ -124,7 +125,7 @@
 }
 
 func (s *session) describe(now time.Time, outOfService bool) rebalance.Instance {
-	i := rebalance.Instance{ID: s.reg.ID, Runs: len(s.runs), Lasting: s.usage.longRunning, Usable: s.usable(now) && !outOfService}
+	i := rebalance.Instance{ID: s.reg.ID, Runs: len(s.runs), Lasting: s.usage.longRunning, Backfill: s.usage.backfill, Usable: s.usable(now) && !outOfService}
 	if len(s.runs) == 0 && !s.idleSince.IsZero() {
 		i.IdleFor = now.Sub(s.idleSince)
 	}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -11,6 +11,8 @@
 	longRunning, backfill int
 	// longRunningAllocation is what the long-running tasks take.
 	longRunningAllocation job.Resources
+	// noValueAllocation is what the runs of jobs without value left take.
+	noValueAllocation job.Resources
 }
 
 // addRun records a run at the instance.
@@ -41,5 +43,12 @@
 	case r.step.Lasting:
 		v.longRunning += by
 		v.longRunningAllocation = v.longRunningAllocation.Add(r.need.Times(by))
+	case r.noValue:
+		v.noValueAllocation = v.noValueAllocation.Add(r.need.Times(by))
 	}
 }
+
+// valuedAllocation returns what the short tasks of jobs take that still have value.
+func (v usage) valuedAllocation() job.Resources {
+	return v.allocated.Sub(v.longRunningAllocation).Sub(v.noValueAllocation)
+}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -120,6 +120,9 @@
 	number int
 	need   job.Resources
 	step   *job.Step
+	// noValue is set for a run whose job had no value left when it was started. It isn't
+	// stored: after a takeover all runs count as having value.
+	noValue bool
 	// resolvedAt is when it became certain that no start order for the run is
 	// still under way; zero before.
 	resolvedAt  time.Time
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -37,8 +37,9 @@
 	ID string
 	// Runs is the number of recorded runs.
 	Runs int
-	// Lasting is the number of recorded runs of long-running tasks.
-	Lasting int
+	// Lasting and Backfill are the numbers of recorded runs of long-running and of
+	// backfill tasks.
+	Lasting, Backfill int
 	// Usable instances may be given tasks.
 	Usable bool
 	// IdleFor is how long the instance has had no run; 0 while it has one.
@@ -64,6 +65,9 @@
 	// LastingCPU is the allocation of the long-running tasks on usable instances, and on
 	// those that are being emptied: they need room elsewhere.
 	LastingCPU int
+	// BusyCPU is the allocation of the other running tasks, except those of jobs without
+	// value left.
+	BusyCPU int
 	// FreeCPU is the free capacity of usable instances that waiting tasks fit in; all
 	// of it if none waits.
 	FreeCPU int
@@ -127,7 +131,7 @@
 func (s Snapshot) assignMachines() []Move {
 	shortages := s.shortages()
 	var moves []Move
-	for _, m := range s.available() {
+	for _, m := range s.available(overloaded(shortages)) {
 		neediest := longestBacklog(shortages, m.Pool)
 		if neediest == nil {
 			continue
@@ -136,7 +140,12 @@
 		neediest.missing--
 		neediest.capacity += m.Capacity.CPU
 	}
-	return append(moves, s.reclaim(shortages)...)
+	taken := map[string]bool{}
+	for _, m := range moves {
+		taken[m.Machine] = true
+	}
+	moves = append(moves, s.consolidate(shortages, taken)...)
+	return append(moves, s.reclaim(shortages, moves)...)
 }
 
 // longestBacklog returns the shortage with the longest backlog, or nil if no pool
@@ -154,10 +163,11 @@
 
 // available returns the machines that may move to another pool: first those that would
 // be switched off, which saves a second move, then those that are off, then those that
-// have just become idle and may be needed again.
-func (s Snapshot) available() []machine.Machine {
+// have just become idle and may be needed again. With lend, pools give up machines of
+// their base size too.
+func (s Snapshot) available(lend bool) []machine.Machine {
 	inService := func(m machine.Machine) bool { return !s.OutOfService[m.DataCentre] }
-	idle := s.idle(idleBeforeMove, inService, nil)
+	idle := s.idle(idleBeforeMove, inService, nil, lend)
 	returning := 0
 	for returning < len(idle) && s.idleFor(idle[returning]) >= idleBeforeReturn {
 		returning++
@@ -180,14 +190,14 @@
 // longest first, beyond those that their pools keep, and without those that are taken
 // for other pools. Machines of a data centre that takes no work can't run tasks, so they
 // aren't kept and don't count towards a pool's size.
-func (s Snapshot) idle(atLeast time.Duration, eligible func(machine.Machine) bool, taken map[string]bool) []machine.Machine {
+func (s Snapshot) idle(atLeast time.Duration, eligible func(machine.Machine) bool, taken map[string]bool, lend bool) []machine.Machine {
 	sizes := map[string]int{}
 	for _, m := range s.Machines {
 		if !s.OutOfService[m.DataCentre] && !taken[m.Name] {
 			sizes[m.Pool]++
 		}
 	}
-	minSizes := s.minSizes()
+	minSizes := s.minSizes(lend)
 	machines := s.byName()
 	slices.SortStableFunc(machines, func(a, b machine.Machine) int { return cmp.Compare(s.idleFor(b), s.idleFor(a)) })
 	var out []machine.Machine
@@ -211,10 +221,16 @@
 	return out
 }
 
-// minSizes returns how many machines each pool keeps: its base size, or those for
-// the forecast and the long-running tasks if they are more.
-func (s Snapshot) minSizes() map[string]int {
+// minSizes returns how many machines each pool keeps: its base size, or a part of it
+// while it lends machines, or those for the forecast and the long-running tasks if they
+// are more.
+func (s Snapshot) minSizes(lend bool) map[string]int {
 	minSizes := maps.Clone(s.BaseSizes)
+	for pool, size := range minSizes {
+		if lend {
+			minSizes[pool] = max(int(keptBaseShare*float64(size)), 1)
+		}
+	}
 	machineCPU := max(s.meanMachineCPU(), 1)
 	for pool, d := range s.Demand {
 		if d.ArrivingCPU > 0 {
@@ -332,7 +348,7 @@
 // pool, which switches them off.
 func (s Snapshot) returnIdle(taken map[string]bool) []Move {
 	var moves []Move
-	for _, m := range s.idle(idleBeforeReturn, func(machine.Machine) bool { return true }, taken) {
+	for _, m := range s.idle(idleBeforeReturn, func(machine.Machine) bool { return true }, taken, false) {
 		moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: s.SparePool, Instance: m.Instance})
 	}
 	return moves
--- a/internal/rebalance/reclaim.go
+++ b/internal/rebalance/reclaim.go
@@ -35,8 +35,8 @@
 // peak while another one already holds all machines and keeps them busy: idle ones
 // would not come free for as long as that pool's peak lasts. Machines with
 // long-running tasks stay.
-func (s Snapshot) reclaim(shortages []shortage) []Move {
-	donors := s.donors()
+func (s Snapshot) reclaim(shortages []shortage, taken []Move) []Move {
+	donors := s.donors(taken)
 	var moves []Move
 	for {
 		neediest := longestBacklog(shortages, "")
@@ -77,13 +77,17 @@
 	return shortest
 }
 
-// donors returns the pools with busy machines, beyond the size that each keeps.
-func (s Snapshot) donors() []donor {
-	sizes, leaving := map[string]int{}, map[string]int{}
+// donors returns the pools with busy machines, beyond the size that each keeps, without
+// those that are taken.
+func (s Snapshot) donors(taken []Move) []donor {
+	sizes, leaving, isTaken := map[string]int{}, map[string]int{}, map[string]bool{}
+	for _, m := range taken {
+		isTaken[m.Machine] = true
+	}
 	byPool := map[string][]machine.Machine{}
 	for _, m := range s.byName() {
 		sizes[m.Pool]++
-		if s.Busy[m.Name] {
+		if s.Busy[m.Name] || isTaken[m.Name] {
 			leaving[m.Pool]++
 			continue
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -102,6 +102,8 @@
 	Node string
 	// Ticket is the advisor's ticket; empty for steps that need none.
 	Ticket string
+	// Class is the candidate's class when it was assigned.
+	Class Class
 }
 
 // Plan assigns waiting tasks to nodes, in the order of class, rank and job. It
@@ -288,6 +290,7 @@
 		Task:   job.TaskID{Job: c.Job, Occurrence: c.Occurrence, Step: c.Number, Index: t.Index},
 		Node:   n.ID,
 		Ticket: c.Tickets[n.ID],
+		Class:  c.Class,
 	})
 }
 
