Partitions are probed at once when the store returns

Change: the pause between two probes ends when the store serves this daemon again. The test fails without it: the submission is still refused 50 ms after the return.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -431,3 +431,30 @@
 		synctest.Wait()
 	})
 }
+
+// Once the store serves a daemon again after an outage, its partitions must be probed at
+// once: callers were refused for up to half a second after the store's return, with the
+// last of their few attempts.
+func TestPartitionIsProbedWhenTheStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := memstore.New(4)
+		client := s.Client()
+		service := newService(client)
+		client.SetFault(func(string) memstore.Fault { return memstore.Refuse })
+		for range 25 {
+			_ = service.Submit(t.Context(), submission())
+			_, _ = service.Log.Owners(t.Context(), "owners")
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(service.Log.Away() > 0)
+		is.True(service.unitOutage(1) > 0)
+		client.SetFault(nil)
+		_, err := service.Log.Owners(t.Context(), "owners")
+		is.NoErr(err)
+		time.Sleep(2 * recoveryCheckInterval)
+		is.NoErr(service.Submit(t.Context(), submission()))
+		time.Sleep(unitProbeInterval)
+		synctest.Wait()
+	})
+}
--- a/internal/intake/unithealth.go
+++ b/internal/intake/unithealth.go
@@ -18,6 +18,9 @@
 	// unitProbeInterval bounds the delay until the recovery of a unit's partition is
 	// detected; the probes of all daemons add to the store's writes.
 	unitProbeInterval = 500 * time.Millisecond
+	// recoveryCheckInterval is how often a probe that waits checks whether the store
+	// serves this daemon again.
+	recoveryCheckInterval = 25 * time.Millisecond
 	// unitFailureThreshold is the number of failed appends in a row after which a
 	// partition counts as unavailable: one direct and one through the owner.
 	unitFailureThreshold = 2
@@ -77,7 +80,20 @@
 	defer h.probing.Store(false)
 	for h.Away() > 0 {
 		go s.probeOnce(unit, h)
-		pause.For(context.Background(), unitProbeInterval)
+		s.pauseBetweenProbes()
+	}
+}
+
+// pauseBetweenProbes waits for unitProbeInterval, but not longer than until the store
+// serves this daemon again after an outage, when the partition is likely to be served
+// too.
+func (s *Service) pauseBetweenProbes() {
+	outage := s.Log.Away() > 0
+	for end := time.Now().Add(unitProbeInterval); time.Now().Before(end); pause.For(context.Background(), recoveryCheckInterval) {
+		if outage && s.Log.Away() == 0 {
+			return
+		}
+		outage = outage || s.Log.Away() > 0
 	}
 }
 
