The part of a team's limit that nobody claims follows its use

Cause: what is neither used nor claimed of a team's limit was divided evenly among the pools. Change: half of it is divided in proportion to use. job.waits tells the allowance of memory too.

--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -83,7 +83,7 @@
 		zap.Int64("configuration", u.View.Catalog().Version), zap.Duration("registry_age", u.View.RegistryAge()),
 	}
 	if c.Allowance != nil {
-		fields = append(fields, zap.Int("allowance_cpu", c.Allowance.CPU), zap.Int64("lead", u.allowances.leader))
+		fields = append(fields, zap.Int("allowance_cpu", c.Allowance.CPU), zap.Int("allowance_mem", c.Allowance.Memory), zap.Int64("lead", u.allowances.leader))
 	}
 	u.Logger.Info("job.waits", fields...)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -120,8 +120,7 @@
 func gpu(r job.Resources) int    { return r.GPU }
 
 // target returns a pool's share of a team's limit: its running tasks, its waiting
-// tasks (by max-min fairness if those of all pools don't fit), and an even part of the
-// rest.
+// tasks (by max-min fairness if those of all pools don't fit), and a part of the rest.
 func (l *Ledger) target(pool, team string, limit job.Resources, pools []string, of dimension) int {
 	running, waiting := 0, 0
 	var claims []int
@@ -136,7 +135,18 @@
 	if waiting > left {
 		return of(own.Running) + fairShare(left, of(own.Waiting), claims)
 	}
-	return of(own.Running) + of(own.Waiting) + (left-waiting)/max(len(pools), 1)
+	return of(own.Running) + of(own.Waiting) + spareShare(left-waiting, len(pools), of(own.Running)+of(own.Waiting), running+waiting)
+}
+
+// spareShare returns a pool's part of what is neither used nor claimed: half of it is
+// divided evenly, so that each pool can begin at once, and half in proportion to what the
+// pools use, so that a pool whose demand grows needn't wait until the others have given
+// up theirs, nor for a leader while there is none.
+func spareShare(spare, pools, used, usedByAll int) int {
+	if usedByAll == 0 {
+		return spare / max(pools, 1)
+	}
+	return spare/2/max(pools, 1) + int(int64(spare/2)*int64(used)/int64(usedByAll))
 }
 
 // fairShare returns the share of one of several claims by max-min fairness: claims up to
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -50,6 +50,22 @@
 	}
 }
 
+// What no pool claims goes in part to where a team's work is: a pool whose demand grew had
+// 0.37 of its team's limit, and half of the limit was unused in pools without work, for
+// the 1.6 s in which no leader could move it.
+func TestSpareLimitFollowsUse(t *testing.T) {
+	is := is.New(t)
+	pools := []string{"a", "b", "c", "d"}
+	l := NewLedger()
+	for _, p := range pools {
+		l.Confirm(p, 1, use(0, 0, 0))
+	}
+	is.Equal(l.Grants("a", limits(100), pools)[team].CPU, 25)
+	l.Confirm("a", 1, use(0, 30, 10))
+	is.Equal(l.Grants("a", limits(100), pools)[team].CPU, 40+30+7)
+	is.Equal(l.Grants("b", limits(100), pools)[team].CPU, 7) // enough to begin
+}
+
 func TestNoGrantRisesBeforeAllOwnersReported(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
