Plans divide a pool's starts among teams

Cause: in a pool that was short, the team that sent 6.5 times its usual rate delayed all other teams as much as itself (docs/design/hard-load.md): starts were ordered by job alone.

Change: internal/fairshare orders teams by dominant share for their weight. schedule.Plan divides the classes in time and late by it where candidates have a team. A turn is a step's tasks, 16 at most; a team's jobs that have begun come first, then the queue's priority, then rank. What a team can't use, the others use. Candidates are sorted by a total order, without a stable sort.

Each of these mechanisms taken out fails a test: order by level, begun first, bound of a turn, whole turns, going on after a candidate that doesn't fit, count of a gang that is rolled back.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -24,7 +24,7 @@
 // a package of ioPackages, directly or indirectly.
 var aggregates = []string{
 	"burn", "catalog", "configuration", "controlstate", "credit", "datacentre",
-	"dispatch", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
+	"dispatch", "fairshare", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
 	"schedule", "team", "verdict",
 }
 
--- a/internal/schedule/reference_test.go
+++ b/internal/schedule/reference_test.go
@@ -149,13 +149,16 @@
 
 func BenchmarkPlan(b *testing.B) {
 	for _, load := range []struct{ nodes, jobs, withRoom int }{{700, 5, 60}, {700, 150, 60}, {700, 500, 0}, {700, 500, 60}} {
-		b.Run(fmt.Sprintf("%d_jobs_%d_with_room", load.jobs, load.withRoom), func(b *testing.B) {
-			for b.Loop() {
-				b.StopTimer()
-				candidates, nodes := peakLoad(load.nodes, load.jobs, load.withRoom)
-				b.StartTimer()
-				Plan(now, candidates, nodes)
-			}
-		})
+		for _, teams := range []int{0, 20} {
+			b.Run(fmt.Sprintf("%d_jobs_%d_with_room_%d_teams", load.jobs, load.withRoom, teams), func(b *testing.B) {
+				for b.Loop() {
+					b.StopTimer()
+					candidates, nodes := peakLoad(load.nodes, load.jobs, load.withRoom)
+					divideAmong(candidates, teams)
+					b.StartTimer()
+					Plan(now, candidates, nodes)
+				}
+			})
+		}
 	}
 }
--- a/internal/schedule/runnable.go
+++ b/internal/schedule/runnable.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "github.com/beryltide/beryltide/internal/job"
+import (
+	"strings"
+
+	"github.com/beryltide/beryltide/internal/job"
+)
 
 // Runnable returns the candidates that the nodes could run if they were empty: a node is
 // large enough for one of the tasks and allowed, and all nodes together are large enough
@@ -41,3 +45,19 @@
 	}
 	return false
 }
+
+// shape is the key under which the planner records that no node fits the tasks of
+// an unconstrained step. labels holds the step's labels, each with an end mark.
+type shape struct {
+	need   job.Resources
+	labels string
+}
+
+func shapeOf(s *job.Step) shape {
+	var labels strings.Builder
+	for _, label := range s.Labels {
+		labels.WriteString(label)
+		labels.WriteByte(0)
+	}
+	return shape{need: s.Allocation(), labels: labels.String()}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,6 +1,6 @@
 // Package schedule assigns waiting tasks to instances. Plan computes the starts
 // from a snapshot; the package does no I/O, keeps no state between calls and
-// depends on package job only.
+// depends on packages job and fairshare only.
 //
 // It is designed for demand peaks: for some seconds jobs of a few short tasks need
 // several times a pool's capacity, and little of it in between.
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/beryltide/beryltide/internal/fairshare"
 	"github.com/beryltide/beryltide/internal/job"
 )
 
@@ -61,6 +62,15 @@
 	// Tickets holds the advisor's tickets by the ID of the instance that may run
 	// the step; nil means that any instance may.
 	Tickets map[string]string
+	// Team is the team's part in the division of the pool, shared by all of its
+	// candidates; nil if the pool isn't divided.
+	Team *fairshare.Team
+	// Begun jobs have had a start. Begun and Priority, the queue's with 0 first, order a
+	// team's candidates in a division.
+	Begun    bool
+	Priority int
+	// HeldBack is set by Plan if the team's share kept a task of the step from starting.
+	HeldBack bool
 }
 
 // Trim removes the tasks for which stillWaiting returns false.
@@ -104,19 +114,18 @@
 	Ticket string
 }
 
-// Plan assigns waiting tasks to nodes, in the order of class, rank and job. It
-// sorts candidates in place, and updates Free, Reservation and the task counts of
-// the nodes, and Placed and Allowance of the candidates.
+// Plan assigns waiting tasks to nodes, in the order of class, rank and job, or, within
+// the classes in time and late, divided among the candidates' teams. It sorts candidates
+// in place by class, rank and job, and updates Free, Reservation and the task counts of
+// the nodes, and Placed, Allowance, Team and HeldBack of the candidates.
 func Plan(now time.Time, candidates []*Candidate, nodes []*Node) []Assignment {
-	slices.SortStableFunc(candidates, compare)
+	slices.SortFunc(candidates, compare)
 	p := newPlanner(now, nodes)
 	p.keepReservations(candidates)
-	for _, c := range candidates {
-		if c.Step.Gang {
-			p.placeGang(c)
-			continue
-		}
-		p.placeTasks(c)
+	for len(candidates) > 0 {
+		class := firstClass(candidates)
+		p.placeClass(class)
+		candidates = candidates[len(class):]
 	}
 	return p.assignments
 }
@@ -128,23 +137,10 @@
 	if d := cmp.Compare(a.Rank, b.Rank); d != 0 {
 		return d
 	}
-	return cmp.Compare(a.Job, b.Job)
-}
-
-// shape is the key under which the planner records that no node fits the tasks of
-// an unconstrained step. labels holds the step's labels, each with an end mark.
-type shape struct {
-	need   job.Resources
-	labels string
-}
-
-func shapeOf(s *job.Step) shape {
-	var labels strings.Builder
-	for _, label := range s.Labels {
-		labels.WriteString(label)
-		labels.WriteByte(0)
+	if d := strings.Compare(a.Job, b.Job); d != 0 {
+		return d
 	}
-	return shape{need: s.Allocation(), labels: labels.String()}
+	return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Number, b.Number))
 }
 
 type planner struct {
@@ -215,37 +211,47 @@
 }
 
 func (p *planner) placeTasks(c *Candidate) {
-	unconstrained := c.Step.PerInstance == 0 && c.Tickets == nil
 	s := shapeOf(c.Step)
 	for _, t := range c.Tasks {
-		if unconstrained && p.blocked[s] {
-			p.renewReservation(c)
-			return
-		}
-		if !c.withinAllowance() {
-			return
-		}
-		n := p.choose(c, t)
-		if n == nil {
-			p.blocked[s] = p.blocked[s] || unconstrained && t.Avoid == ""
-			p.reserve(c)
+		if !p.placeTask(c, t, s) {
 			return
 		}
-		p.assign(c, t, n)
 	}
 }
 
-// placeGang assigns all members of a gang or none.
-func (p *planner) placeGang(c *Candidate) {
+// placeTask assigns a task of a candidate of the given shape. If it returns false, none
+// of the candidate's further tasks can start.
+func (p *planner) placeTask(c *Candidate, t Task, s shape) bool {
+	unconstrained := c.Step.PerInstance == 0 && c.Tickets == nil
+	if unconstrained && p.blocked[s] {
+		p.renewReservation(c)
+		return false
+	}
+	if !c.withinAllowance() {
+		return false
+	}
+	n := p.choose(c, t)
+	if n == nil {
+		p.blocked[s] = p.blocked[s] || unconstrained && t.Avoid == ""
+		p.reserve(c)
+		return false
+	}
+	p.assign(c, t, n)
+	return true
+}
+
+// placeGang assigns all members of a gang or none, and reports which.
+func (p *planner) placeGang(c *Candidate) bool {
 	begin := len(p.assignments)
 	for _, t := range c.Tasks {
 		n := p.choose(c, t)
 		if n == nil || !c.withinAllowance() {
 			p.rollBack(c, begin)
-			return
+			return false
 		}
 		p.assign(c, t, n)
 	}
+	return true
 }
 
 func (p *planner) rollBack(c *Candidate, from int) {
@@ -256,6 +262,9 @@
 		if c.Allowance != nil {
 			*c.Allowance = c.Allowance.Add(c.Step.Need)
 		}
+		if c.Team != nil {
+			c.Team.Sub(c.Step.Allocation())
+		}
 	}
 	p.assignments = p.assignments[:from]
 }
@@ -284,6 +293,9 @@
 	if c.Allowance != nil {
 		*c.Allowance = c.Allowance.Sub(c.Step.Need)
 	}
+	if c.Team != nil {
+		c.Team.Add(c.Step.Allocation())
+	}
 	p.assignments = append(p.assignments, Assignment{
 		Task:   job.TaskID{Job: c.Job, Occurrence: c.Occurrence, Step: c.Number, Index: t.Index},
 		Node:   n.ID,
