Instances are polled more often while a long-running task there starts up

Cause: a wave was late by two machines of 154: the tasks of one step may move one after another only, and the owner learned up to 1 s late that a moved task serves, at 2.6 s a move. Change: while a task of a step with such a limit doesn't serve yet, its instance is polled each 200 ms.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -368,6 +369,39 @@
 	})
 }
 
+// A task that was moved must be known to serve soon after it does, since the next move of
+// its step waits for it: at one move in 2.6 s a wave was late by two machines.
+func TestMovesOfLongRunningTasksFollowEachOther(t *testing.T) {
+	inVirtualTime(t, 4, func(c *cluster, is *is.I) {
+		const startup = 1050 * time.Millisecond
+		for _, i := range c.instances {
+			i.duration, i.startup = time.Hour, startup
+		}
+		longRunning := longStep(2)
+		longRunning.Lasting, longRunning.PerInstance, longRunning.MayMiss = true, 1, 1
+		d := c.startOwner(64)
+		c.submit(jobA, longRunning)
+		time.Sleep(4 * time.Second)
+		var occupied []string
+		for id, i := range c.instances {
+			i.mu.Lock()
+			if len(i.runs) > 0 {
+				occupied = append(occupied, id)
+			}
+			i.mu.Unlock()
+		}
+		is.Equal(len(occupied), 2)
+		for len(c.startsOf(jobA)) < 4 {
+			_, err := d.unit.Release(context.Background(), occupied)
+			is.NoErr(err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		starts := c.startsOf(jobA)
+		slices.SortFunc(starts, func(a, b fakeStart) int { return a.at.Compare(b.at) })
+		is.True(starts[3].at.Sub(starts[2].at) <= startup+2*startupPollWait)
+	})
+}
+
 // An owner without recent contact to the store may have a successor, which
 // stops as many long-running tasks as their step may miss. The former owner
 // must not stop more.
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,9 @@
 	// pollWait is how long a poll waits for a task to end. It also bounds how long
 	// a silent connection goes unnoticed, and the age of tail latencies.
 	pollWait = time.Second
+	// startupPollWait is the same while a long-running task there doesn't serve yet: the
+	// next move of a task of its step may have to wait for it.
+	startupPollWait = 200 * time.Millisecond
 	// maxAckAge bounds the age of the listing whose ends a poll acknowledges. It
 	// is shorter than a restart: a restarted instance numbers its ends from 1, and
 	// would delete the ends of other runs.
@@ -107,6 +111,8 @@
 type ackCursor struct {
 	incarnation int64
 	recorded    int64
+	// wait is how long the poll waits for a task to end.
+	wait time.Duration
 }
 
 // clockReading is an instance's clock, read when the boot clock showed at.
@@ -202,7 +208,7 @@
 		poll.Lease = s.extendLease()
 	}
 	if poll.Lease > 0 && !confirmIncarnation {
-		poll.Wait = pollWait
+		poll.Wait = cmp.Or(next.wait, pollWait)
 	}
 	listing, err := s.unit.Instances.Poll(s.ctx, *s.target.Load(), poll)
 	if err != nil {
@@ -238,7 +244,25 @@
 // schedulePoll schedules the next poll with the ends recorded so far. The
 // unit's goroutine calls it.
 func (s *session) schedulePoll() {
-	s.enqueuePoll(ackCursor{incarnation: s.incarnation, recorded: s.lastRecorded})
+	next := ackCursor{incarnation: s.incarnation, recorded: s.lastRecorded, wait: pollWait}
+	if s.hasTaskStartingUp() {
+		next.wait = startupPollWait
+	}
+	s.enqueuePoll(next)
+}
+
+// hasTaskStartingUp reports whether a long-running task there, whose step limits how many
+// may be unavailable, doesn't serve yet.
+func (s *session) hasTaskStartingUp() bool {
+	if s.usage.longRunning == 0 {
+		return false
+	}
+	for _, r := range s.runs {
+		if r.step.Lasting && r.step.MayMiss > 0 && !r.stopping && r.percent < servingPercent {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *session) enqueuePoll(next ackCursor) {
