--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -372,7 +372,8 @@
 // A task that was moved must be known to serve soon after it does, since the next move of
 // its step waits for it: at one move in 2.6 s a wave was late by two machines.
 func TestMovesOfLongRunningTasksFollowEachOther(t *testing.T) {
-	inVirtualTime(t, 4, func(c *cluster, is *is.I) {
+	const tasks = 8
+	inVirtualTime(t, 2*tasks, func(c *cluster, is *is.I) {
 		const (
 			startup         = 1050 * time.Millisecond
 			releaseInterval = 170 * time.Millisecond // so that moves fall into all parts of a poll
@@ -380,19 +381,21 @@
 		for _, i := range c.instances {
 			i.duration, i.startup = time.Hour, startup
 		}
-		longRunning := longStep(2)
+		longRunning := longStep(tasks)
 		longRunning.Lasting, longRunning.PerInstance, longRunning.MayMiss = true, 1, 1
 		d := c.startOwner(64)
 		c.submit(jobA, longRunning)
 		time.Sleep(4 * time.Second)
-		for len(c.startsOf(jobA)) < 12 {
-			_, err := d.unit.Release(context.Background(), c.occupied())
+		occupied := c.occupied()
+		is.Equal(len(occupied), tasks)
+		for len(c.startsOf(jobA)) < 2*tasks {
+			_, err := d.unit.Release(context.Background(), occupied)
 			is.NoErr(err)
 			time.Sleep(releaseInterval)
 		}
 		starts := c.startsOf(jobA)
 		slices.SortFunc(starts, func(a, b fakeStart) int { return a.at.Compare(b.at) })
-		for n := 3; n < len(starts); n++ {
+		for n := tasks + 1; n < len(starts); n++ {
 			is.True(starts[n].at.Sub(starts[n-1].at) <= startup+2*startupPollWait+releaseInterval)
 		}
 	})
