Teams without a weight are summed up once in a round

Cause: each team without a weight added up what all of them run, in every round of a pool that is short: with hundreds of such teams, far more than a tenth of the round.

Change: the sum is made for the part that they share, once in a round.

--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -57,13 +57,22 @@
 	if weight := weightOf(s.team, c); weight > 0 {
 		return d.Team(s.team, weight, u.allowances.occupied[s])
 	}
-	var used job.Resources
-	for other, occupied := range u.allowances.occupied {
-		if other.pool == s.pool && weightOf(other.team, c) <= 0 {
-			used = used.Add(occupied)
+	if s.team != "" {
+		return u.teamOfRound(teamPool{pool: s.pool}).share
+	}
+	return d.Team("", 0, u.occupiedWithoutWeight(s.pool, c))
+}
+
+// occupiedWithoutWeight returns what runs in a pool of jobs without a team of positive
+// weight.
+func (u *Unit) occupiedWithoutWeight(pool string, c *catalog.Catalog) job.Resources {
+	var sum job.Resources
+	for s, occupied := range u.allowances.occupied {
+		if s.pool == pool && weightOf(s.team, c) <= 0 {
+			sum = sum.Add(occupied)
 		}
 	}
-	return d.Team("", 0, used)
+	return sum
 }
 
 func weights(c *catalog.Catalog) []float64 {
--- a/internal/owner/shares_test.go
+++ b/internal/owner/shares_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// Guards against teams without a weight that each get a part as large as that of a team
+// with one, or one that doesn't count what the others of them run.
+func TestTeamsWithoutWeightHaveOnePartOfPool(t *testing.T) {
+	is := is.New(t)
+	u, _, _ := sharedUnit(1, 3)
+	u.plan(time.Now())
+	for team, cpu := range map[string]int{"": 1000, "removed": 2000, "unweighted": 4000} {
+		u.allowances.occupied[teamPool{testPool, team}] = job.Resources{CPU: cpu}
+		u.allowances.occupied[teamPool{otherPool, team}] = job.Resources{CPU: 50_000}
+	}
+	u.View.Catalog().AddTeam(&catalog.Team{Name: "unweighted"}, nil)
+	part := u.teamOfRound(teamPool{testPool, "unweighted"}).share
+	is.True(part == u.teamOfRound(teamPool{testPool, "removed"}).share && part == u.teamOfRound(teamPool{testPool, ""}).share)
+	is.Equal(part.Used(), job.Resources{CPU: 7000})
+	is.Equal(part.Weight, 2.0)
+}
+
 // Guards against a share of a team that counts what doesn't keep others from starting:
 // the CPU of backfill tasks.
 func TestBackfillTakesNoShare(t *testing.T) {
