--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -49,7 +49,7 @@
 
 // tasksPerTurn is how many tasks of one step a team may start at its turn. A step's tasks
 // are started together, since one that gets its share task by task completes late: in the
-// replay of package fairshare with weights by usual rate, turns of one task let 0.08 fewer
+// replay of package fairshare with weights by usual rate, turns of one task let 0.07 fewer
 // of the jobs be in time than turns of a whole step of 8. Larger steps take several turns,
 // which bounds how far a team goes beyond its share.
 const tasksPerTurn = 16
