--- a/internal/configuration/decode.go
+++ b/internal/configuration/decode.go
@@ -17,29 +17,50 @@
 // hold any of the document's sections, and each entry belongs to one file. The
 // error is a Faults that lists every fault with its file, path and value.
 func Compose(files []File) (*Document, error) {
-	c := composer{doc: &Document{}, origin: map[string]string{}}
+	doc, _, err := ComposeWithOrigins(files)
+	return doc, err
+}
+
+// Origins maps the path of each entry to the name of the file that holds it.
+type Origins map[string]string
+
+// FileOf returns the file of the longest prefix of path that has an origin, or
+// "" if none has.
+func (o Origins) FileOf(path string) string {
+	for path != "" {
+		if file, ok := o[path]; ok {
+			return file
+		}
+		path = path[:max(0, strings.LastIndexByte(path, '.'))]
+	}
+	return ""
+}
+
+// ComposeWithOrigins is Compose, and also returns which file holds each entry.
+func ComposeWithOrigins(files []File) (*Document, Origins, error) {
+	c := composer{doc: &Document{}, origin: Origins{}}
 	for _, f := range files {
 		c.add(f)
 	}
 	if len(c.faults) > 0 {
-		return nil, c.faults
+		return nil, nil, c.faults
 	}
 	// A document that failed to decode isn't validated: each reference to an
 	// entry that didn't decode would be reported as a fault too.
 	faults := Validate(c.doc)
 	for i := range faults {
-		faults[i].File = c.fileOf(faults[i].Path)
+		faults[i].File = c.origin.FileOf(faults[i].Path)
 	}
 	if len(faults) > 0 {
-		return nil, faults
+		return nil, nil, faults
 	}
-	return c.doc, nil
+	return c.doc, c.origin, nil
 }
 
-// composer merges files. origin maps an entry's path to the name of its file.
+// composer merges files.
 type composer struct {
 	doc    *Document
-	origin map[string]string
+	origin Origins
 	faults Faults
 }
 
@@ -89,15 +110,3 @@
 	c.origin[path] = file
 	return true
 }
-
-// fileOf returns the file of the longest prefix of path that has an origin, or
-// "" if none has.
-func (c *composer) fileOf(path string) string {
-	for path != "" {
-		if file, ok := c.origin[path]; ok {
-			return file
-		}
-		path = path[:max(0, strings.LastIndexByte(path, '.'))]
-	}
-	return ""
-}
