beryltide check: findings and differences before an apply

Cause: an operator could only learn what a change does by diff, which needs the log, and learned of entries without effect and of contradicting limits after apply. An answer whose document doesn't have the digest that the daemon names is refused.

--- a/cmd/beryltide/fuzz_test.go
+++ b/cmd/beryltide/fuzz_test.go
@@ -24,6 +24,8 @@
 		`{"Members":[{"OpsAddr":"@"}],"Services":{"s":{"availabilityObjective":1}},"Pending":[{"Service":"s","Good":9223372036854775807,"Refused":1}]}`,
 		`{"members":[{"ops_addr":"@"}],"pools":[{"name":"` + strings.Repeat("x", 4096) + `"}]`,
 		`{"queue":"q","configuration":-1,"shadowed":[{}],"attempts":-5}`,
+		`{"revision":1,"digest":"","document":null}`,
+		`{"revision":1,"digest":"x","document":{"pools":{"p":{}}}}`,
 		`{"entries":[{"offset":0,"data":"AAAA"}],"first":0,"next":1}`,
 	} {
 		f.Add([]byte(seed))
@@ -43,6 +45,7 @@
 			{"report", "burn", "--daemon", daemon},
 			{"report", "burn", "--daemon", daemon, "--html", filepath.Join(t.TempDir(), "page.html")},
 			{"explain", "route", "--daemon", daemon, "shop.example", "/"},
+			{"check", "--against", daemon, example},
 			{"--log", server.URL, "status"},
 			{"--log", server.URL, "diff", example},
 			{"--log", server.URL, "apply", "--timeout", "20ms", "--wait", "20ms", example},
--- a/cmd/beryltide/main.go
+++ b/cmd/beryltide/main.go
@@ -22,8 +22,8 @@
 
 // Exit codes; scripts may rely on them.
 const (
-	exitFailure   = 1 // anything not named below
-	exitInvalid   = 2 // the files or the command line are wrong
+	exitFailure   = 1 // anything not named below; of check: findings
+	exitInvalid   = 2 // the files or the command line are wrong; of check: it can't tell
 	exitStale     = 3 // another change was accepted first
 	exitUnknown   = 4 // the outcome of the change wasn't read back in time
 	exitNotActive = 5 // accepted, but not confirmed as active by every daemon
@@ -32,6 +32,8 @@
 var (
 	errUsage     = errors.New("wrong usage")
 	errNotActive = errors.New("not active at every daemon")
+	errFindings  = errors.New("the check has findings")
+	errUndecided = errors.New("the check couldn't be completed")
 )
 
 func main() {
@@ -54,7 +56,7 @@
 func exitCode(err error) int {
 	var faults configuration.Faults
 	switch {
-	case errors.As(err, &faults), errors.Is(err, errUsage):
+	case errors.As(err, &faults), errors.Is(err, errUsage), errors.Is(err, errUndecided):
 		return exitInvalid
 	case errors.Is(err, configuration.ErrStale):
 		return exitStale
@@ -89,6 +91,7 @@
 		},
 		Commands: []*cli.Command{
 			t.applyCommand(),
+			t.checkCommand(),
 			t.validateCommand(),
 			t.diffCommand(),
 			t.statusCommand(),
--- a/cmd/beryltide/settings.go
+++ b/cmd/beryltide/settings.go
@@ -69,14 +69,27 @@
 	if cmd.Args().Len() != 1 {
 		return nil, errors.Wrap(errUsage, "want exactly one directory of configuration files")
 	}
-	names, err := filepath.Glob(filepath.Join(cmd.Args().First(), "*.json"))
+	files, err := readDirectory(cmd.Args().First())
+	if err != nil {
+		return nil, err
+	}
+	return configuration.Compose(files)
+}
+
+// readDirectory reads the JSON files of a directory, sorted by name.
+func readDirectory(dir string) ([]configuration.File, error) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
 	if err != nil {
 		return nil, errors.Wrap(errUsage, err.Error())
 	}
 	if len(names) == 0 {
-		return nil, errors.Wrapf(errUsage, "%s contains no .json files", cmd.Args().First())
+		return nil, errors.Wrapf(errUsage, "%s contains no .json files", dir)
 	}
 	slices.Sort(names)
+	return readFiles(names)
+}
+
+func readFiles(names []string) ([]configuration.File, error) {
 	files := make([]configuration.File, len(names))
 	for i, name := range names {
 		data, err := os.ReadFile(name)
@@ -85,5 +98,5 @@
 		}
 		files[i] = configuration.File{Name: name, Data: data}
 	}
-	return configuration.Compose(files)
+	return files, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -224,11 +224,12 @@
 	}
 	operators := &http.Server{
 		Handler: operations.New(operations.Options{
-			Ready:    d.checkReady,
-			Status:   d.status,
-			Revision: d.revision,
-			Burn:     d.burn.Status,
-			Metrics:  d.metricsPage,
+			Ready:         d.checkReady,
+			Status:        d.status,
+			Revision:      d.revision,
+			Configuration: d.configuration,
+			Burn:          d.burn.Status,
+			Metrics:       d.metricsPage,
 		}),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
@@ -333,6 +334,11 @@
 	return status.Revision{Revision: v.Revision, Digest: v.Digest}
 }
 
+func (d *Daemon) configuration() status.Configuration {
+	v := d.loop.View()
+	return status.Configuration{Revision: v.Revision, Digest: v.Digest, Document: v.Document}
+}
+
 // controlBytes returns the bytes of the control connections by kind, or nil
 // without Meters.
 func (d *Daemon) controlBytes() map[string]status.Bytes {
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -18,7 +18,9 @@
 	Status func() status.Status
 	// Revision returns the active revision, for clients that poll it.
 	Revision func() status.Revision
-	Metrics  http.Handler
+	// Configuration returns the active configuration.
+	Configuration func() status.Configuration
+	Metrics       http.Handler
 	// Burn returns the service-level counts.
 	Burn func() status.Burn
 }
@@ -42,6 +44,9 @@
 	mux.HandleFunc("GET /v1/revision", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, opts.Revision())
 	})
+	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, opts.Configuration())
+	})
 	mux.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, opts.Burn())
 	})
--- a/internal/operator/revision.go
+++ b/internal/operator/revision.go
@@ -79,7 +79,11 @@
 }
 
 func getJSON(ctx context.Context, client *http.Client, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	return getJSONWithin(ctx, requestTimeout, client, url, v)
+}
+
+func getJSONWithin(ctx context.Context, timeout time.Duration, client *http.Client, url string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/tools/quickstart/main.go
+++ b/tools/quickstart/main.go
@@ -63,7 +63,9 @@
 		do    func(context.Context) error
 	}{
 		{"start a stand-in platform and three daemons", q.start},
+		{"check " + exampleDir + " against " + daemonNames[0] + " without a configuration", q.check},
 		{"apply " + exampleDir, q.apply},
+		{"check " + exampleDir + " against " + daemonNames[0], q.check},
 		{"submit a proofing request through " + daemonNames[0], q.submitProofing},
 		{"submit an engraving request through " + daemonNames[1], q.submitEngraving},
 		{"show the fleet", q.status},
@@ -149,6 +151,10 @@
 	})
 }
 
+func (q *quickstart) check(ctx context.Context) error {
+	return q.beryltide(ctx, "check", "--against", q.daemons[0].OperationsAddr, exampleDir)
+}
+
 func (q *quickstart) status(ctx context.Context) error { return q.beryltide(ctx, "status") }
 
 func (q *quickstart) burn(ctx context.Context) error { return q.beryltide(ctx, "report", "burn") }
