--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/ownership"
-	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/schedule"
 )
 
@@ -176,102 +174,6 @@
 	}
 }
 
-// pollLoop polls the instance until the session ends.
-func (s *session) pollLoop() {
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case next := <-s.nextPoll:
-			s.pollOnce(next)
-		}
-	}
-}
-
-func (s *session) pollOnce(next ackCursor) {
-	if !s.unit.holds() {
-		pause.For(s.ctx, pollRetryDelay)
-		s.enqueuePoll(next)
-		return
-	}
-	sent := time.Now()
-	poll := instance.Poll{Fence: s.unit.tenure.Epoch}
-	// Ends of an old listing are acknowledged after a poll that confirms it.
-	ackDue := next.incarnation == s.polledIncarnation && next.recorded > s.lastAcknowledged
-	confirmIncarnation := ackDue && sent.Sub(s.polledAt) > maxAckAge
-	if ackDue && !confirmIncarnation {
-		poll.Acknowledged = next.recorded
-	}
-	if !s.outOfContact.Load() {
-		// While contact is lost, no poll may extend the lease: its answer may get
-		// lost, and each try would put off leaseExpiry.
-		poll.Lease = s.extendLease()
-	}
-	if poll.Lease > 0 && !confirmIncarnation {
-		poll.Wait = cmp.Or(next.wait, pollWait)
-	}
-	listing, err := s.unit.Instances.Poll(s.ctx, *s.target.Load(), poll)
-	if err != nil {
-		s.outOfContact.Store(true)
-		// The instance may have restarted since.
-		s.polledAt = time.Time{}
-	}
-	if err == nil {
-		s.recordAnswer(listing.Incarnation, poll.Acknowledged)
-		s.clock.Store(&clockReading{clock: listing.Clock, at: s.unit.Clock()})
-	}
-	s.unit.post(func() { s.unit.onPoll(s, listing, err, sent) })
-	if err != nil {
-		pause.For(s.ctx, pollRetryDelay)
-		s.enqueuePoll(next)
-		return
-	}
-	if poll.Wait == 0 && !confirmIncarnation {
-		pause.For(s.ctx, pollRetryDelay)
-	}
-}
-
-// recordAnswer notes which incarnation answered, and what was acknowledged.
-func (s *session) recordAnswer(incarnation, acknowledged int64) {
-	if incarnation != s.polledIncarnation {
-		s.polledIncarnation, s.lastAcknowledged = incarnation, 0
-	} else {
-		s.lastAcknowledged = max(s.lastAcknowledged, acknowledged)
-	}
-	s.polledAt = time.Now()
-}
-
-// schedulePoll schedules the next poll with the ends recorded so far. The
-// unit's goroutine calls it.
-func (s *session) schedulePoll() {
-	next := ackCursor{incarnation: s.incarnation, recorded: s.lastRecorded, wait: pollWait}
-	if s.hasTaskStartingUp() {
-		next.wait = startupPollWait
-	}
-	s.enqueuePoll(next)
-}
-
-// hasTaskStartingUp reports whether a long-running task there, whose step limits how many
-// may be unavailable, doesn't serve yet.
-func (s *session) hasTaskStartingUp() bool {
-	if s.usage.longRunning == 0 {
-		return false
-	}
-	for _, r := range s.runs {
-		if r.step.Lasting && r.step.MayMiss > 0 && !r.stopping && r.percent < servingPercent {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *session) enqueuePoll(next ackCursor) {
-	select {
-	case s.nextPoll <- next:
-	default:
-	}
-}
-
 func (s *session) sendOrders() {
 	for {
 		select {
