Package shortage: what a job's completion can still be worth

Cause: the order of waiting jobs and the admission by outlook decide by the same values. They were constants of package schedule.

Change: the value per core-second, the time after which a job has no value and the backlog from which a pool is short move to the pure package internal/shortage. Rank gets a queue's priority and a job's whole work, which it doesn't use yet. No decision changes.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -25,7 +25,7 @@
 var aggregates = []string{
 	"burn", "catalog", "configuration", "controlstate", "credit", "datacentre",
 	"dispatch", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
-	"schedule", "team", "verdict",
+	"schedule", "shortage", "team", "verdict",
 }
 
 // ioPackages are the packages that do input or output.
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -188,13 +188,15 @@
 		return
 	}
 	q := u.queue(e.job.Submission.Queue)
-	fullCriticalPath, _ := u.remaining(e, nil)
+	fullCriticalPath, fullWork := u.remaining(e, nil)
 	criticalPath, work := u.remaining(e, o)
 	c.Class, c.Rank = schedule.Rank(now, schedule.RankInput{
 		Accepted:      e.job.Due(o.Number),
 		Objective:     time.Duration(q.Stretch*float64(fullCriticalPath)) + q.TargetLatency,
 		CriticalPath:  criticalPath,
+		Priority:      q.Priority,
 		RemainingWork: work,
+		FullWork:      fullWork,
 		TotalWork:     e.totalWork,
 		MeanWork:      u.workByQueue[e.job.Submission.Queue].mean,
 		Backlog:       u.backlog[e.job.Submission.Pool],
--- a/internal/schedule/rank.go
+++ b/internal/schedule/rank.go
@@ -2,11 +2,13 @@
 
 import (
 	"time"
+
+	"github.com/beryltide/beryltide/internal/shortage"
 )
 
 // noValueAfter is the multiple of its objective after which a job's completion has
 // no value left.
-const noValueAfter = 3
+const noValueAfter = shortage.NoValueAfter
 
 // RankInput is the input of Rank: a job's progress and its pool's backlog.
 type RankInput struct {
@@ -16,9 +18,13 @@
 	Objective time.Duration
 	// CriticalPath is the length of the job's remaining critical path.
 	CriticalPath time.Duration
-	// RemainingWork is the job's remaining work, in core-seconds.
+	// Priority is that of the job's queue, 0 for the highest.
+	Priority int
+	// RemainingWork is the job's remaining work, in core-seconds, and FullWork that of
+	// the whole job by the same estimates.
 	RemainingWork float64
-	// TotalWork is the job's total work, in core-seconds.
+	FullWork      float64
+	// TotalWork is the job's total work by its caller's estimates, in core-seconds.
 	TotalWork float64
 	// MeanWork is the mean total work of the jobs of its queue, in core-seconds.
 	MeanWork float64
@@ -29,15 +35,7 @@
 // overloadBacklog is the backlog from which not all jobs can meet their objective,
 // so that jobs are ranked by value per core-second; below it the job with the least
 // slack goes first.
-const overloadBacklog = time.Second
-
-// A job's value, as its users count it, is a fixed part for its completion plus a
-// part in proportion to its size relative to the queue's mean, up to a maximum.
-const (
-	baseValue = 0.3
-	sizeValue = 0.7
-	maxValue  = 4.0
-)
+const overloadBacklog = shortage.Backlog
 
 // Rank returns a job's class and its rank within that class, lowest first. Below
 // overloadBacklog the job with the least slack goes first; above it, the one with
@@ -45,11 +43,7 @@
 // meet their objective come after those that can, and jobs without value left come
 // last, in the order of acceptance.
 func Rank(now time.Time, in RankInput) (Class, float64) {
-	value := baseValue
-	if in.MeanWork > 0 {
-		value += sizeValue * in.TotalWork / in.MeanWork
-	}
-	density := min(value, maxValue) / max(in.RemainingWork, minWork)
+	density := shortage.Density(in.RemainingWork, in.TotalWork, in.MeanWork)
 	latency := now.Add(in.CriticalPath).Sub(in.Accepted)
 	switch {
 	case latency <= in.Objective:
@@ -62,6 +56,3 @@
 	}
 	return NoValue, float64(in.Accepted.UnixMilli())
 }
-
-// minWork, in core-seconds, bounds the density of a job close to completion.
-const minWork = 0.05
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,6 +1,6 @@
 // Package schedule assigns waiting tasks to instances. Plan computes the starts
 // from a snapshot; the package does no I/O, keeps no state between calls and
-// depends on package job only.
+// depends on packages job and shortage only.
 //
 // It is designed for demand peaks: for some seconds jobs of a few short tasks need
 // several times a pool's capacity, and little of it in between.
