Under shortage jobs start by priority, prospect, progress and urgency

While a pool was short, the order ignored the queue's priority, left late jobs waiting until they had no value, and jobs without value for as long as other work came.

Change: while a pool's backlog is a second or more, schedule.Rank takes the order of package shortage: jobs that can be in time, then late ones, then those without value; in each by the queue's priority, then nearly completed jobs, then value per core-second, less for jobs with time left. A job without value goes ahead of others a minute and six objectives after it was accepted. Without a shortage nothing changes. Event job.put_behind, which beryltide explain names.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -132,6 +132,9 @@
 	if waits := first(lines, "job.waits"); waits != nil {
 		parts = append(parts, "had to wait for "+waits.value("reason"))
 	}
+	if behind := last(lines, "job.put_behind"); behind != nil {
+		parts = append(parts, "put behind other jobs: "+behind.value("reason"))
+	}
 	if started != nil && ended != nil {
 		parts = append(parts, fmt.Sprintf("%s after %s at work", ended.value("state"), elapsed(started, ended)))
 	}
@@ -156,6 +159,16 @@
 	return nil
 }
 
+// last returns the last line of an event, or nil.
+func last(lines []Line, event string) *Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		if lines[i].Event == event {
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
 // finalState returns the line of the job's final state, or nil.
 func finalState(lines []Line) *Line {
 	for i := len(lines) - 1; i >= 0; i-- {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -28,6 +28,17 @@
 	is.True(strings.HasSuffix(out.String(), "waited 500ms for its first start; had to wait for the team's limit; completed after 1.5s at work; 1 runs ended without being done; 2 owners in turn\n"))
 }
 
+// Guards against a summary that doesn't say why other jobs went first.
+func TestJobPutBehindIsExplained(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(`time=2026-01-01T00:00:01Z event=job.accepted job=00000000000000dd
+time=2026-01-01T00:00:02Z event=job.put_behind job=00000000000000dd reason=priority
+time=2026-01-01T00:00:03Z event=job.put_behind job=00000000000000dd reason=late
+`), "f", "00000000000000dd")
+	is.NoErr(err)
+	is.Equal(Summary(lines), "accepted, no start seen; put behind other jobs: late")
+}
+
 func TestRefusedAndUnknownJobs(t *testing.T) {
 	is := is.New(t)
 	lines, err := Read(strings.NewReader(`time=2026-01-01T00:00:01Z event=request.refused job=00000000000000cc reason="unknown key"`), "f", "00000000000000cc")
--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/schedule"
+	"github.com/beryltide/beryltide/internal/shortage"
 )
 
 // logPlaced logs where a round starts a step's tasks, and the version of the
@@ -50,6 +51,7 @@
 		}
 		if counts[s] < len(c.Tasks) {
 			u.logWaits(c, nodes)
+			u.logPutBehind(c, now)
 		}
 	}
 }
@@ -87,3 +89,32 @@
 	}
 	u.Logger.Info("job.waits", fields...)
 }
+
+// logPutBehind logs why a waiting job starts after others while its pool is short, each
+// time that the reason changes.
+func (u *Unit) logPutBehind(c *schedule.Candidate, now time.Time) {
+	e := u.jobs[c.Job]
+	if e == nil {
+		return
+	}
+	backlog := u.backlog[e.job.Submission.Pool]
+	if backlog < shortage.Backlog {
+		return
+	}
+	priority := u.queue(e.job.Submission.Queue).Priority
+	reason := ""
+	switch {
+	case c.Class == schedule.NoValue:
+		reason = "no value left"
+	case c.Class == schedule.Late:
+		reason = "late"
+	case c.Class == schedule.InTime && priority > 0:
+		reason = "priority"
+	}
+	if reason == "" || reason == e.putBehind {
+		return
+	}
+	e.putBehind = reason
+	u.Logger.Info("job.put_behind", zap.String("job", c.Job), zap.Int("step", c.Number), zap.String("reason", reason), zap.Int("priority", priority),
+		zap.Duration("since_accepted", now.Sub(e.job.Due(c.Occurrence))), zap.Duration("backlog", backlog), zap.Float64("rank", c.Rank))
+}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -174,6 +174,8 @@
 	startRecorded bool
 	// waitLogged reports that the reason why the job waits has been logged.
 	waitLogged bool
+	// putBehind is the reason last logged for which the job starts after others.
+	putBehind  string
 	finishedAt time.Time
 	// nextDue is when the job's next occurrence is due.
 	nextDue time.Time
--- a/internal/schedule/rank.go
+++ b/internal/schedule/rank.go
@@ -32,27 +32,46 @@
 	Backlog time.Duration
 }
 
-// overloadBacklog is the backlog from which not all jobs can meet their objective,
-// so that jobs are ranked by value per core-second; below it the job with the least
-// slack goes first.
+// overloadBacklog is the backlog from which not all jobs can meet their objective, so
+// that package shortage ranks them; below it the job with the least slack goes first.
 const overloadBacklog = shortage.Backlog
 
 // Rank returns a job's class and its rank within that class, lowest first. Below
-// overloadBacklog the job with the least slack goes first; above it, the one with
-// the highest value per remaining core-second (density). Jobs that can no longer
-// meet their objective come after those that can, and jobs without value left come
-// last, in the order of acceptance.
+// overloadBacklog the job with the least slack goes first, jobs that can no longer meet
+// their objective come after those that can, by value per remaining core-second (density),
+// and jobs without value left come last, in the order of acceptance. Above it the order is
+// that of package shortage.
 func Rank(now time.Time, in RankInput) (Class, float64) {
-	density := shortage.Density(in.RemainingWork, in.TotalWork, in.MeanWork)
+	if in.Backlog >= overloadBacklog {
+		return rankUnderShortage(now, in)
+	}
 	latency := now.Add(in.CriticalPath).Sub(in.Accepted)
 	switch {
 	case latency <= in.Objective:
-		if in.Backlog < overloadBacklog {
-			return InTime, (in.Objective - latency).Seconds()
-		}
-		return InTime, -density
+		return InTime, (in.Objective - latency).Seconds()
 	case latency <= noValueAfter*in.Objective:
-		return Late, -density
+		return Late, -shortage.Density(in.RemainingWork, in.TotalWork, in.MeanWork)
 	}
 	return NoValue, float64(in.Accepted.UnixMilli())
 }
+
+// rankOfOverdue, in the unit of times in ms, puts overdue jobs ahead of all others of
+// their class.
+const rankOfOverdue = -1e13
+
+func rankUnderShortage(now time.Time, in RankInput) (Class, float64) {
+	prospect, rank := shortage.Rank(now, shortage.Job{
+		Accepted: in.Accepted, Objective: in.Objective, CriticalPath: in.CriticalPath,
+		Backlog: in.Backlog, Priority: in.Priority,
+		RemainingWork: in.RemainingWork, FullWork: in.FullWork, TotalWork: in.TotalWork, MeanWork: in.MeanWork,
+	})
+	switch prospect {
+	case shortage.Overdue:
+		return InTime, rankOfOverdue + rank
+	case shortage.InTime:
+		return InTime, rank
+	case shortage.Late:
+		return Late, rank
+	}
+	return NoValue, rank
+}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -183,6 +183,25 @@
 	is.True(largeRank > smallRank)
 }
 
+// Priorities count while the pool is short, and only then.
+func TestRankUsesThePriorityUnderShortage(t *testing.T) {
+	is := is.New(t)
+	first := RankInput{Accepted: now, Objective: 2 * time.Second, CriticalPath: 500 * time.Millisecond, RemainingWork: 40, TotalWork: 40, MeanWork: 4}
+	second := first
+	second.Priority, second.CriticalPath, second.RemainingWork = 1, time.Second, 4
+	_, firstRank := Rank(now, first)
+	_, secondRank := Rank(now, second)
+	is.True(firstRank > secondRank) // the second has less slack
+	first.Backlog, second.Backlog = overloadBacklog, overloadBacklog
+	_, firstRank = Rank(now, first)
+	_, secondRank = Rank(now, second)
+	is.True(firstRank < secondRank)
+	second.Accepted = now.Add(-time.Hour) // no job starves
+	class, overdueRank := Rank(now, second)
+	is.Equal(class, InTime)
+	is.True(overdueRank < firstRank)
+}
+
 // No plan of random nodes and candidates exceeds a node's capacity, a per-instance
 // limit or the team's allowance, or splits a gang.
 func TestPlansKeepConstraints(t *testing.T) {
