--- a/architecture_test.go
+++ b/architecture_test.go
@@ -25,7 +25,7 @@
 var aggregates = []string{
 	"burn", "catalog", "configcheck", "configuration", "controlstate", "credit", "datacentre",
 	"dispatch", "fairshare", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
-	"schedule", "team", "verdict",
+	"schedule", "shortage", "team", "verdict",
 }
 
 // ioPackages are the packages that do input or output.
