Jobs that would be completed too late to be of use are refused at submission

Change: a pool's owner computes an outlook twice a second at most: waiting jobs in the order of starts, and capacity with what is arriving. The leader tells owners with its grants which machines are on their way or idle (GrantOrder.Supply). Daemons fetch the outlook in the background, at most every 500 ms for a pool, and refuse a job with 503 and Retry-After if it has no value left with half of the expected wait, no instance is free for its tasks, no machine is idle, and the owner, asked for just these jobs, hasn't read a submission of its ID. In doubt it is accepted as before: without an outlook, with one older than 2 s, for 3 s after a takeover, while the store is slow. Event job.refused_by_outlook, metrics jobs_refused_for_capacity and outlook_age_seconds.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -145,6 +145,9 @@
 	d.owners.units = d.units
 	d.service = &intake.Service{
 		Log: d.log, Units: d.units, Peers: d.peers, Member: d.member, UnitOf: unitOf, Limits: d.settings.storeLimits(), Logger: d.logger,
+		OnNoCapacity: func(queue string) {
+			d.ports.Metrics.Tagged(map[string]string{"queue": queue}).Counter("jobs_refused_for_capacity").Inc(1)
+		},
 	}
 	d.outage = &outage{log: d.ports.Log, member: d.member, peers: d.peers, logger: d.logger}
 	go d.outage.run(workCtx)
@@ -233,6 +236,9 @@
 		case <-ticker.C:
 			d.ports.Metrics.Gauge("configuration_age_seconds").Update(d.view.ConfigurationAge().Seconds())
 			d.ports.Metrics.Gauge("registry_age_seconds").Update(d.view.RegistryAge().Seconds())
+			for pool, age := range d.service.OutlookAges() {
+				d.ports.Metrics.Tagged(map[string]string{"pool": pool}).Gauge("outlook_age_seconds").Update(age.Seconds())
+			}
 			if c := d.view.Catalog(); c != nil {
 				d.ports.Metrics.Gauge("configuration_version").Update(float64(c.Version))
 			}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -60,6 +60,9 @@
 	// Limits are those of the store on callers' records.
 	Limits store.Limits
 	Logger *zap.Logger
+	// OnNoCapacity is called with the queue of each job that Admit refuses; nil if nothing
+	// counts them.
+	OnNoCapacity func(queue string)
 
 	// ownerFirstUntil is the Unix time in milliseconds until which appends go
 	// through the unit's owner first.
@@ -69,6 +72,7 @@
 	// routed takes this daemon's records, direct those that it appends itself, its own
 	// and those of peers.
 	routed, direct batcher
+	outlooks       outlooks
 }
 
 // Bounds of RetryAfter, without its random part.
--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -148,6 +148,22 @@
 	return work
 }
 
+// CriticalPath returns the length of the longest chain of steps, with the given run time
+// of a step's tasks.
+func (s *Submission) CriticalPath(runTime func(*Step) time.Duration) time.Duration {
+	finish := make([]time.Duration, len(s.Steps))
+	var longest time.Duration
+	for number := range s.Steps {
+		step := &s.Steps[number]
+		for _, before := range step.After {
+			finish[number] = max(finish[number], finish[before])
+		}
+		finish[number] += runTime(step)
+		longest = max(longest, finish[number])
+	}
+	return longest
+}
+
 // Validate returns an error that names the first invalid field, or nil.
 func (s *Submission) Validate() error {
 	if !validID(s.ID) {
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -24,7 +24,7 @@
 // stateEvents are refusals and state changes of jobs and runs.
 var stateEvents = map[string]bool{
 	"job.accepted": true, "job.state": true, "job.cancelled": true, "job.cancel_accepted": true,
-	"request.refused": true, "run.ended": true, "run.stop": true, "run.hung": true,
+	"request.refused": true, "job.refused_by_outlook": true, "run.ended": true, "run.stop": true, "run.hung": true,
 }
 
 // NewBounded returns a logger for a daemon's standard output. It writes an event as
--- a/internal/maintenance/controller.go
+++ b/internal/maintenance/controller.go
@@ -119,6 +119,7 @@
 	draining map[string]movement
 	// poolStatesLoggedAt is when the state of the pools was last logged.
 	poolStatesLoggedAt time.Time
+	supply             supply
 	// lastAppend is the sequence number of the last append under this tenure.
 	lastAppend int64
 }
@@ -249,7 +250,7 @@
 	orders := make([]owner.GrantOrder, len(pools))
 	for n, name := range pools {
 		c.lastGrant++
-		orders[n] = owner.GrantOrder{Pool: name, Lead: c.Tenure.Epoch, Number: c.lastGrant, Grants: c.ledger.Grants(name, limits, pools), MaintenanceDue: due[name]}
+		orders[n] = owner.GrantOrder{Pool: name, Lead: c.Tenure.Epoch, Number: c.lastGrant, Grants: c.ledger.Grants(name, limits, pools), MaintenanceDue: due[name], Supply: c.supplyOf(name)}
 	}
 	reports, errs := c.queryOwners(ctx, orders)
 	c.demand = map[string]rebalance.Demand{}
--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -36,6 +36,7 @@
 	for n, err := range c.send(ctx, orders) {
 		c.handleMoveResult(moves[n], err)
 	}
+	c.supply = supply{byPool: suppliesOf(c.moveSnapshot(configuration)), at: time.Now()}
 }
 
 // executableMoves drains the instances of the machines to be moved, and returns
--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -83,6 +83,9 @@
 	// MaintenanceDue holds the IDs of the pool's instances on machines that a wave will
 	// take down.
 	MaintenanceDue []string
+	// Supply is the supply of machines to the pool. Leaders of earlier versions don't
+	// send it.
+	Supply Supply
 }
 
 // Grant applies a leader's grants for a pool and returns what the pool's teams
@@ -113,6 +116,7 @@
 	}
 	a.leader = o.Lead
 	a.lastNumber[o.Pool] = o.Number
+	u.supplies[o.Pool] = knownSupply{Supply: o.Supply, at: u.Clock()}
 	u.maintenanceDue[o.Pool] = map[string]bool{}
 	for _, id := range o.MaintenanceDue {
 		u.maintenanceDue[o.Pool][id] = true
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -65,6 +65,7 @@
 		u.place(plan, now)
 		u.waiting[pool] = u.withoutPlaced(candidates, plan)
 	}
+	u.updateOutlooks(c, now)
 }
 
 // measureBacklog computes how long the work that the last round left waiting
@@ -187,10 +188,14 @@
 		c.Class = schedule.LongRunning
 		return
 	}
+	c.Class, c.Rank = schedule.Rank(now, u.rankInput(e, o))
+}
+
+func (u *Unit) rankInput(e *entry, o *job.Occurrence) schedule.RankInput {
 	q := u.queue(e.job.Submission.Queue)
 	fullCriticalPath, fullWork := u.remaining(e, nil)
 	criticalPath, work := u.remaining(e, o)
-	c.Class, c.Rank = schedule.Rank(now, schedule.RankInput{
+	return schedule.RankInput{
 		Accepted:      e.job.Due(o.Number),
 		Objective:     time.Duration(q.Stretch*float64(fullCriticalPath)) + q.TargetLatency,
 		CriticalPath:  criticalPath,
@@ -200,7 +205,7 @@
 		TotalWork:     e.totalWork,
 		MeanWork:      u.workByQueue[e.job.Submission.Queue].mean,
 		Backlog:       u.backlog[e.job.Submission.Pool],
-	})
+	}
 }
 
 // remaining returns the length of the remaining critical path of an occurrence
--- a/internal/owner/round_bench_test.go
+++ b/internal/owner/round_bench_test.go
@@ -27,7 +27,7 @@
 		return catalog.OperatorRecord{Catalog: c}, nil
 	}}, func() time.Duration { return time.Since(begin) }, zap.NewNop())
 	view.ResetOperator([]store.Record{{Key: "config", Value: []byte{1}}})
-	u := New(context.Background(), Deps{View: view, Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope)}, ownership.Tenure{})
+	u := New(context.Background(), Deps{View: view, Clock: func() time.Duration { return time.Since(begin) }, Logger: zap.NewNop(), Meter: NewMeter(tally.NoopScope)}, ownership.Tenure{})
 	now := time.Now()
 	step := job.Step{Count: 8, Need: job.Resources{CPU: 2100}, Estimate: 800 * time.Millisecond}
 	for i := range instances {
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -159,6 +159,9 @@
 	durations    durations
 	arrivals     map[string]*arrivals
 	workByQueue  map[string]*queueWork
+	// supplies is what the leader last knew of the machines for each pool.
+	supplies map[string]knownSupply
+	outlooks outlooks
 }
 
 // entry is a job with the unit's own data about it.
@@ -194,7 +197,7 @@
 		events: make(chan func(), eventBuffer), done: make(chan struct{}),
 		jobs: map[string]*entry{}, active: map[string]*entry{}, sessions: map[string]*session{}, earlyCancels: map[string]bool{}, unreadable: map[string]bool{}, checkingQueues: map[string]bool{}, contactLosses: map[string]contactLoss{}, advice: map[StepID]*stepAdvice{},
 		allowances: newAllowances(), durations: durations{}, arrivals: map[string]*arrivals{}, workByQueue: map[string]*queueWork{},
-		maintenanceDue: map[string]map[string]bool{},
+		maintenanceDue: map[string]map[string]bool{}, supplies: map[string]knownSupply{},
 	}
 	u.ctx, u.cancel = context.WithCancel(ctx)
 	u.commit.init()
