--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -68,6 +68,7 @@
 		u.place(plan, now)
 		u.waiting[pool] = u.withoutPlaced(candidates, plan)
 	}
+	u.updateOutlooks(c, now)
 }
 
 // measureBacklog computes how long the work that the last round left waiting
@@ -181,11 +182,16 @@
 		c.Class = schedule.LongRunning
 		return
 	}
+	in := u.rankInput(e, o)
+	c.Priority = in.Priority
+	c.Class, c.Rank = schedule.Rank(now, in)
+}
+
+func (u *Unit) rankInput(e *entry, o *job.Occurrence) schedule.RankInput {
 	q := u.queue(e.job.Submission.Queue)
-	c.Priority = q.Priority
 	fullCriticalPath, fullWork := u.remaining(e, nil)
 	criticalPath, work := u.remaining(e, o)
-	c.Class, c.Rank = schedule.Rank(now, schedule.RankInput{
+	return schedule.RankInput{
 		Accepted:      e.job.Due(o.Number),
 		Objective:     time.Duration(q.Stretch*float64(fullCriticalPath)) + q.TargetLatency,
 		CriticalPath:  criticalPath,
@@ -195,7 +201,7 @@
 		TotalWork:     e.totalWork,
 		MeanWork:      u.workByQueue[e.job.Submission.Queue].mean,
 		Backlog:       u.backlog[e.job.Submission.Pool],
-	})
+	}
 }
 
 // remaining returns the length of the remaining critical path of an occurrence
