The outlook is tested over a takeover

Cause: the outlook's rules were tested on units whose loop doesn't run.

Change: a test with running owners under several times the load that the pool can run: no outlook before the first round, a short one then, none of the former owner after a takeover, none of the successor for 3 s, then a short one again.

--- a/internal/owner/outlook_test.go
+++ b/internal/owner/outlook_test.go
@@ -96,6 +96,47 @@
 	is.Equal(err, ErrNotReady)
 }
 
+// A pool whose callers send several times what it can run becomes short for admission, also again
+// under a successor, once that knows the instances. In between nobody is told so.
+func TestOutlookFollowsTheOwner(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		leader := int64(0)
+		overload := func(d *daemon, id int) {
+			for range 10 {
+				for range 20 {
+					id++
+					c.submit(fmt.Sprintf("%016x", id), smallStep(4))
+				}
+				leader++
+				_, _, err := d.unit.Grant(c.ctx, GrantOrder{Pool: testPool, Lead: leader, Supply: Supply{Known: true}})
+				is.True(err == nil || leader == 1) // it may not have loaded its unit yet
+				time.Sleep(400 * time.Millisecond)
+			}
+		}
+		first := c.startOwner(64)
+		_, _, err := first.unit.Outlook(testPool)
+		is.Equal(err, ErrNotReady)
+		overload(first, 0)
+		o, age, err := first.unit.Outlook(testPool)
+		is.NoErr(err)
+		is.True(o.Short)
+		is.True(age <= outlookInterval+tickInterval)
+
+		first.setHeld(false)
+		first.unit.Stop()
+		second := c.startOwner(128)
+		_, _, err = first.unit.Outlook(testPool)
+		is.Equal(err, ErrNotReady)
+		time.Sleep(outlookDelay / 2)
+		_, _, err = second.unit.Outlook(testPool)
+		is.Equal(err, ErrNotReady)
+		overload(second, 1000)
+		o, _, err = second.unit.Outlook(testPool)
+		is.NoErr(err)
+		is.True(o.Short)
+	})
+}
+
 // A refusal says that the job never runs, so the owner must know of every submission that
 // was stored before: also of one that it hasn't read yet, and of a queue that other units
 // have jobs of.
