Tests of callers that respect no limits, failing

Cause: bodies of callers have no common limit and no deadline, and no listener has a limit on its connections; 1,200 callers took a daemon of 284 MiB to 463 MiB.

Change: tools/callerload starts a real daemon with lowered limits (memory_mb 96; max_descriptors 4,100 or 400) and loads it with a fixed number of callers. It checks that the process lives, that resident memory and socket buffers stay within memory_mb, that descriptors stay within max_descriptors, and that an ordinary submission is answered. The setting max_descriptors is read and checked here and has no effect yet. The soak's store server moves to tools/internal/storeserver, for both. `make test` runs the package by itself.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 
 # Formatter check, vet, staticcheck and all tests under the race detector.
 test: lint
-	$(GO) test -race $$($(GO) list ./... | grep -v /internal/matrix)
+	$(GO) test -race $$($(GO) list ./... | grep -v -e /internal/matrix -e /tools/callerload)
 	$(MAKE) test-matrix
+	$(MAKE) test-callers
 	$(MAKE) soak-short
 
 # The matrix in processes of its own. The configuration cells run without the
@@ -25,6 +26,13 @@
 	done
 	@$(GO) test -count=1 ./internal/matrix -skip $(MATRIX_NAMED)
 
+.PHONY: test-callers
+
+# Callers that respect no limits, one test at a time. The daemon runs without the race
+# detector, whose memory would count.
+test-callers:
+	$(GO) test -count=1 -p 1 -parallel 1 ./tools/callerload
+
 build:
 	$(GO) build -o bin/ ./cmd/...
 
--- a/cmd/beryltided/template_test.go
+++ b/cmd/beryltided/template_test.go
@@ -16,7 +16,7 @@
 // platform's names.
 const deploymentFields = `{"node_name": "a", "zone": "z", "ip": "10.0.0.1", "internal_ports.0": 7000, "internal_ports.1": 7001,
 "listen.front": "10.0.0.1:1", "listen.ready": "10.0.0.1:2", "platform.address": "10.0.0.2:3", "cloud.address": "10.0.0.2:4", "advice": "10.0.0.2:5",
-"platform.parts": 24, "limits.memory_mb": 284, "limits.cpu_share": 0.4, "cloud.duty_per_s": 64.0, "cloud.rate_per_s": 64.0,
+"platform.parts": 24, "limits.memory_mb": 284, "limits.max_fds": 4100, "limits.cpu_share": 0.4, "cloud.duty_per_s": 64.0, "cloud.rate_per_s": 64.0,
 "platform.record_bytes": 262144, "platform.call_bytes": 2097152, "bounds.max_hold_ms": 10000, "bounds.stop_timeout_ms": 200,
 "bounds.status_s": 120, "bounds.grace_s": 6, "bounds.move_s": 1.5, "bounds.maintenance_s": 2, "bounds.lease_ms": 3000,
 "bounds.cancel_ms": 3000, "bounds.drain_ms": 2000, "bounds.evacuate_ms": 5000}`
--- a/internal/fleetd/settings.go
+++ b/internal/fleetd/settings.go
@@ -36,6 +36,9 @@
 	Units int `json:"units"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may have open; 0
+	// stands for the default.
+	MaxDescriptors int `json:"max_descriptors"`
 	// ProcessorShare is the share of a processor core that the process may use; 1 is
 	// a whole core.
 	ProcessorShare float64 `json:"processor_share"`
@@ -52,10 +55,14 @@
 	Log         LogSettings   `json:"log"`
 }
 
-// Defaults of the store's limits, from the platform's documentation.
+// Defaults of the platform's limits, from its documentation.
 const (
 	defaultRecordBytes = 262_144
 	defaultCallBytes   = 2_097_152
+	// defaultMaxDescriptors is that of the smallest deployments.
+	defaultMaxDescriptors = 4100
+	// minDescriptors leaves descriptors for each listener beyond those for files.
+	minDescriptors = 300
 	// minRecordBytes holds the largest record of a finished job and each record of the
 	// fleet's machines.
 	minRecordBytes = 16_384
@@ -133,6 +140,7 @@
 		return s, errors.Wrap(err, file)
 	}
 	s.Bounds = s.Bounds.withDefaults()
+	s.MaxDescriptors = cmp.Or(s.MaxDescriptors, defaultMaxDescriptors)
 	return s, errors.Wrap(s.validate(), file)
 }
 
@@ -155,6 +163,8 @@
 		return errors.Errorf("units: %d, want at least 1", s.Units)
 	case s.MemoryMB < 1:
 		return errors.Errorf("memory_mb: %d, want at least 1", s.MemoryMB)
+	case s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors:
+		return errors.Errorf("max_descriptors: %d, want at least %d", s.MaxDescriptors, minDescriptors)
 	case s.Machines != "" && s.DutiesPerSecond <= 0:
 		return errors.Errorf("duties_per_second: %v, want more than 0", s.DutiesPerSecond)
 	case s.Machines != "" && s.ListsPerSecond <= 0:
--- a/tools/soak/store.go
+++ b/tools/internal/storeserver/storeserver.go
@@ -1,9 +1,12 @@
-package main
+// Package storeserver serves the platform's store protocol from the in-memory fake of the
+// store, for tools that start real daemons.
+package storeserver
 
 import (
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,15 +17,16 @@
 	"github.com/beryltide/beryltide/internal/store"
 )
 
-// storeServer serves the platform's store protocol to one daemon, from a client of
+// Server serves the platform's store protocol to one daemon, from a client of
 // the fake store.
-type storeServer struct {
-	client *memstore.Client
-	// silent leaves all calls without an answer.
-	silent bool
+type Server struct {
+	Client *memstore.Client
+	// Silent leaves all calls without an answer.
+	Silent bool
 }
 
-func (s *storeServer) handler() http.Handler {
+// Handler returns the handler of all calls.
+func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /log-append", s.append)
 	mux.HandleFunc("GET /log-read", s.read)
@@ -30,7 +34,7 @@
 	mux.HandleFunc("POST /log-join", s.join)
 	mux.HandleFunc("POST /log-leave", s.leave)
 	mux.HandleFunc("GET /log-owners", s.owners)
-	if s.silent {
+	if s.Silent {
 		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	}
 	return mux
@@ -73,15 +77,16 @@
 		w.WriteHeader(http.StatusConflict)
 		body = map[string]any{"reason": "seq", "seq": sequence.Expected}
 	}
-	writeJSON(w, body)
+	WriteJSON(w, body)
 }
 
-func writeJSON(w http.ResponseWriter, body any) {
+// WriteJSON writes an answer's body.
+func WriteJSON(w http.ResponseWriter, body any) {
 	// The write fails only if the daemon has closed the connection.
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *storeServer) append(w http.ResponseWriter, r *http.Request) {
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
 	topic, part := partition(r)
 	records, err := decodeRecords(r)
 	if err != nil {
@@ -90,13 +95,13 @@
 	}
 	switch {
 	case r.URL.Query().Has("at"):
-		err = s.client.AppendAt(r.Context(), topic, part, records, queryInt(r, "at"))
+		err = s.Client.AppendAt(r.Context(), topic, part, records, queryInt(r, "at"))
 	case r.URL.Query().Has("producer"):
-		err = s.client.Append(r.Context(), topic, part, records, &store.Sequence{
+		err = s.Client.Append(r.Context(), topic, part, records, &store.Sequence{
 			Producer: r.URL.Query().Get("producer"), Epoch: queryInt(r, "epoch"), Number: queryInt(r, "seq"),
 		})
 	default:
-		err = s.client.Append(r.Context(), topic, part, records, nil)
+		err = s.Client.Append(r.Context(), topic, part, records, nil)
 	}
 	writeResult(w, map[string]any{}, err)
 }
@@ -110,7 +115,7 @@
 			return records, nil //nolint // the end of the body
 		}
 		data := make([]byte, size)
-		if _, err := readFull(r, data); err != nil {
+		if _, err := io.ReadFull(r.Body, data); err != nil {
 			return nil, err
 		}
 		end := 1 + int(data[0])
@@ -118,10 +123,10 @@
 	}
 }
 
-func (s *storeServer) read(w http.ResponseWriter, r *http.Request) {
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	topic, part := partition(r)
 	wait := time.Duration(max(queryInt(r, "wait_ms"), 0)) * time.Millisecond
-	batch, err := s.client.Read(r.Context(), topic, part, queryInt(r, "from"), wait)
+	batch, err := s.Client.Read(r.Context(), topic, part, queryInt(r, "from"), wait)
 	if err != nil {
 		writeResult(w, nil, err)
 		return
@@ -137,9 +142,9 @@
 	_, _ = w.Write(out) // fails only if the daemon has closed the connection
 }
 
-func (s *storeServer) newest(w http.ResponseWriter, r *http.Request) {
+func (s *Server) newest(w http.ResponseWriter, r *http.Request) {
 	topic, part := partition(r)
-	page, err := s.client.Newest(r.Context(), topic, part, "")
+	page, err := s.Client.Newest(r.Context(), topic, part, "")
 	items := []map[string]any{}
 	for _, record := range page.Records {
 		items = append(items, map[string]any{"key": record.Key, "value": record.Value, "offset": record.Offset})
@@ -147,7 +152,7 @@
 	writeResult(w, map[string]any{"items": items, "has_more": false, "end": page.End}, err)
 }
 
-func (s *storeServer) join(w http.ResponseWriter, r *http.Request) {
+func (s *Server) join(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Group, Member string
 		Topics        []string
@@ -158,7 +163,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	m, err := s.client.Join(r.Context(), store.Join{Group: body.Group, Member: body.Member, Topics: body.Topics, TTL: time.Duration(body.TTL) * time.Millisecond})
+	m, err := s.Client.Join(r.Context(), store.Join{Group: body.Group, Member: body.Member, Topics: body.Topics, TTL: time.Duration(body.TTL) * time.Millisecond})
 	parts := [][]any{}
 	for _, c := range m.Claims {
 		parts = append(parts, []any{c.Topic, c.Partition, 0})
@@ -166,17 +171,17 @@
 	writeResult(w, map[string]any{"generation": m.Generation, "parts": parts}, err)
 }
 
-func (s *storeServer) leave(w http.ResponseWriter, r *http.Request) {
+func (s *Server) leave(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Group, Member string }
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	writeResult(w, map[string]any{}, s.client.Leave(context.WithoutCancel(r.Context()), body.Group, body.Member))
+	writeResult(w, map[string]any{}, s.Client.Leave(context.WithoutCancel(r.Context()), body.Group, body.Member))
 }
 
-func (s *storeServer) owners(w http.ResponseWriter, r *http.Request) {
-	owners, err := s.client.Owners(r.Context(), r.URL.Query().Get("group"))
+func (s *Server) owners(w http.ResponseWriter, r *http.Request) {
+	owners, err := s.Client.Owners(r.Context(), r.URL.Query().Get("group"))
 	rows := [][]any{}
 	for _, o := range owners {
 		rows = append(rows, []any{o.Topic, o.Partition, o.Member, 0})
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -16,6 +16,7 @@
 	"github.com/beryltide/beryltide/internal/fleetd"
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/store"
+	"github.com/beryltide/beryltide/tools/internal/storeserver"
 )
 
 const (
@@ -171,7 +172,7 @@
 // store.
 func (h *harness) addDaemon(n int) error {
 	p := &process{checker: h.checker, storeClient: h.store.Client()}
-	address, err := serveLocal((&storeServer{client: p.storeClient, silent: h.storeSilent}).handler())
+	address, err := serveLocal((&storeserver.Server{Client: p.storeClient, Silent: h.storeSilent}).Handler())
 	if err != nil {
 		return err
 	}
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/platform"
+	"github.com/beryltide/beryltide/tools/internal/storeserver"
 )
 
 const (
@@ -207,7 +208,7 @@
 
 func (i *instance) refuse(w http.ResponseWriter, reason string) {
 	w.WriteHeader(http.StatusConflict)
-	writeJSON(w, map[string]any{"clock_ms": i.clockMS(), "reason": reason})
+	storeserver.WriteJSON(w, map[string]any{"clock_ms": i.clockMS(), "reason": reason})
 }
 
 // admit reports whether the call's fencing token is current; if so, it raises the
@@ -237,7 +238,7 @@
 		i.refuse(w, reason)
 		return
 	}
-	writeJSON(w, map[string]any{"clock_ms": i.clockMS()})
+	storeserver.WriteJSON(w, map[string]any{"clock_ms": i.clockMS()})
 }
 
 // startUnlessRestarted executes a delayed start unless the instance has restarted
@@ -293,7 +294,7 @@
 	if r := i.runs[id]; r != nil && r.run == o.Run {
 		i.end(r, job.EndStopped)
 	}
-	writeJSON(w, map[string]any{"clock_ms": i.clockMS()})
+	storeserver.WriteJSON(w, map[string]any{"clock_ms": i.clockMS()})
 }
 
 // hold lists the running and ended runs. It waits up to wait_ms for an end to
@@ -353,5 +354,5 @@
 	for _, e := range i.unackedEnds[:min(len(i.unackedEnds), endsPerListing)] {
 		ended = append(ended, []any{e.number, platform.TaskName(e.id), e.run, e.how, ""})
 	}
-	writeJSON(w, map[string]any{"clock_ms": i.clockMS(), "born": i.startedAt.UnixMilli(), "running": running, "ended_runs": ended})
+	storeserver.WriteJSON(w, map[string]any{"clock_ms": i.clockMS(), "born": i.startedAt.UnixMilli(), "running": running, "ended_runs": ended})
 }
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -1,15 +1,11 @@
 package main
 
 import (
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
 
-func readFull(r *http.Request, data []byte) (int, error) { return io.ReadFull(r.Body, data) }
-
 // mode is what a proxy does to the connections through it.
 type mode int
 
