--- a/architecture_test.go
+++ b/architecture_test.go
@@ -23,8 +23,8 @@
 // aggregates are the packages with the rules of the system. They must not import
 // a package of ioPackages, directly or indirectly.
 var aggregates = []string{
-	"burn", "catalog", "configuration", "controlstate", "credit", "datacentre",
-	"dispatch", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
+	"bodybudget", "burn", "catalog", "configuration", "connlimit", "controlstate", "credit", "datacentre",
+	"dispatch", "fleet", "forecast", "job", "jobbudget", "member", "planner", "quota", "rebalance", "record",
 	"schedule", "team", "verdict",
 }
 
