Owners have a budget for the jobs that they keep

Cause: whole legal bodies, accepted one after another, fill the memory of the unit's owner: 600 jobs of 255 KiB took a daemon with memory_mb 96 to 174 MiB.

Change: a unit counts the memory of each job that it keeps, with its tasks, and counts it again once the job has ended and is compacted. Before a daemon stores a submission with a record over 16 KiB it asks the unit's owner (Admit of ownerrpc). If the owner has no memory left or can't be asked, the submission is refused as not run. An owner reads its unit to the end before it refuses, so that the repeat of a stored submission is admitted. The daemon passes no budget yet.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -102,6 +102,11 @@
 	if record.Size() > s.Limits.Record {
 		return ErrTooLarge
 	}
+	if record.Size() > largeRecord {
+		if err := s.admit(ctx, sub); err != nil {
+			return err
+		}
+	}
 	return s.appendWithRetry(ctx, func() int { return s.UnitOf(sub.Pool) }, record)
 }
 
--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -122,11 +122,13 @@
 // NoMaxFailures is the MaxFailures of a job whose tasks may fail any number of times.
 const NoMaxFailures = -1
 
+// MaxSteps is the highest number of steps of a job.
+const MaxSteps = 256
+
 // Limits of a submission. The payload is in bytes.
 const (
 	idLength     = 16
 	maxPayload   = 4000
-	maxSteps     = 256
 	maxStepTasks = 10_000
 )
 
@@ -148,6 +150,35 @@
 	return work
 }
 
+// Memory of a submission's parts beyond their texts, in bytes: of the job itself with an
+// owner's data about it, of a step, and of a label.
+const (
+	jobBytes   = 2048
+	stepBytes  = 320
+	labelBytes = 16
+)
+
+// Size returns the approximate memory of the submission in bytes, without its tasks.
+func (s *Submission) Size() int64 {
+	size := jobBytes + len(s.ID) + len(s.Queue) + len(s.Route) + len(s.Pool) + len(s.Team) + len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += stepBytes + 8*len(step.After) + len(step.Rack) + len(step.Image)
+		for _, label := range step.Labels {
+			size += labelBytes + len(label)
+		}
+	}
+	return int64(size)
+}
+
+// taskBytes is the memory of a task.
+const taskBytes = 128
+
+// SizeWithTasks returns the approximate memory of a job that an owner keeps, in bytes.
+func (s *Submission) SizeWithTasks() int64 {
+	return s.Size() + int64(s.tasks())*taskBytes
+}
+
 // Validate returns an error that names the first invalid field, or nil.
 func (s *Submission) Validate() error {
 	if !validID(s.ID) {
@@ -156,8 +187,8 @@
 	if len(s.Payload) > maxPayload {
 		return errors.Errorf("spec: %d bytes, at most %d", len(s.Payload), maxPayload)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return errors.Errorf("steps: %d, want 1 to %d", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Errorf("steps: %d, want 1 to %d", len(s.Steps), MaxSteps)
 	}
 	if s.Occurrences < 0 || s.IntervalMS < 0 {
 		return errors.New("occurrences: negative count or interval")
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -133,7 +133,9 @@
 // that records its end: a successor reads the records of all jobs whose state is
 // still shown, and the payloads of finished ones would be most of their bytes.
 func (u *Unit) appendCompacted(records []store.Record, e *entry) []store.Record {
-	data, err := job.EncodeSubmission(e.job.Compact())
+	compact := e.job.Compact()
+	u.recount(e)
+	data, err := job.EncodeSubmission(compact)
 	if err != nil {
 		u.Logger.Error("job.compact_failed", zap.String("job", e.job.ID()), zap.Error(err))
 		return records
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/beryltide/beryltide/internal/fleetview"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/jobbudget"
 	"github.com/beryltide/beryltide/internal/memstore"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/pause"
@@ -51,6 +52,8 @@
 	instances map[string]*fakeInstance
 	catalog   *catalog.Catalog
 	limits    store.Limits
+	// jobMemory makes the budget for jobs of each owner; nil is no limit.
+	jobMemory func() *jobbudget.Budget
 	// owners holds the newest owner of each unit.
 	owners map[int]*daemon
 	cancel context.CancelFunc
@@ -118,6 +121,9 @@
 		Sole:   func(ownership.Tenure) bool { return d.sole() },
 		GiveUp: func(ownership.Tenure) { d.setHeld(false) },
 	}
+	if c.jobMemory != nil {
+		deps.Jobs = c.jobMemory()
+	}
 	d.unit = New(c.ctx, deps, ownership.Tenure{Unit: unit, Epoch: epoch})
 	c.mu.Lock()
 	c.owners[unit] = d
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -274,12 +274,16 @@
 
 // addEntry adds a job to those that the unit keeps.
 func (u *Unit) addEntry(e *entry) {
+	u.keep(e)
 	u.jobs[e.job.ID()] = e
 	u.active[e.job.ID()] = e
 }
 
 // forget removes a job from those that the unit keeps.
 func (u *Unit) forget(id string) {
+	if e := u.jobs[id]; e != nil {
+		u.drop(e)
+	}
 	delete(u.jobs, id)
 	delete(u.active, id)
 }
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -17,6 +17,7 @@
 	"github.com/beryltide/beryltide/internal/fleetview"
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/jobbudget"
 	"github.com/beryltide/beryltide/internal/ownership"
 	"github.com/beryltide/beryltide/internal/pause"
 	"github.com/beryltide/beryltide/internal/queueunits"
@@ -82,6 +83,8 @@
 	Bounds Bounds
 	// Limits are those of the store on the unit's records.
 	Limits store.Limits
+	// Jobs is the daemon's memory for the jobs that its units keep; nil is no limit.
+	Jobs   *jobbudget.Budget
 	Logger *zap.Logger
 	Meter  *Meter
 	// UnitOf returns the unit of a pool.
@@ -110,6 +113,8 @@
 	done   chan struct{}
 
 	jobs map[string]*entry
+	// memory is the memory that the unit's jobs count for.
+	memory int64
 	// active holds the jobs whose tasks may still start, so that a round's time
 	// doesn't grow with the finished jobs that are kept for their state. Jobs that
 	// end are removed by the next round.
@@ -175,6 +180,8 @@
 	// waitLogged reports that the reason why the job waits has been logged.
 	waitLogged bool
 	finishedAt time.Time
+	// memory is what the job counts for in the budget for jobs.
+	memory int64
 	// nextDue is when the job's next occurrence is due.
 	nextDue time.Time
 	// totalWork is the estimated work of one occurrence, in core-seconds.
@@ -214,6 +221,7 @@
 	defer close(u.done)
 	defer u.cancel()
 	defer u.clearGauges()
+	defer u.dropAll()
 	for !u.InUse(u.tenure.Unit) {
 		if !pause.For(u.ctx, poolCheckInterval) {
 			return
--- a/internal/ownerrpc/ownerrpc.go
+++ b/internal/ownerrpc/ownerrpc.go
@@ -45,6 +45,8 @@
 	NoJob
 	// NotOwner means that the daemon doesn't own the unit.
 	NotOwner
+	// Full means that the owner has no memory for a job.
+	Full
 )
 
 // JobRequest names a job by a unit, the route of its queue and its ID. Earlier versions
