Callers that respect no limits are refused or disconnected

Cause: with memory_mb 96, 600 callers with large bodies took a daemon to 222 to 230 MiB, bodies of tiny steps to 842 MiB, unread answers to 258 MiB, and each connection took a descriptor, over any limit.

Change: platform/body.go reads bodies into memory that grows with what has arrived, and that internal/bodybudget grants; decoding counts too, and too many steps are refused before they are decoded. internal/fleetd/listener.go limits the connections of all four listeners and the kernel's buffers of all but the peers', and closes connections whose answers aren't read. limits.go divides memory and descriptors (new: max_descriptors) and reports once a second: event callers.limited, metrics callers_limited, body_bytes, kept_job_bytes and open_connections. The collector's soft limit is 0.65 of memory_mb instead of 0.7, since the buffers have a share of their own.

--- a/cmd/beryltided/fleet.go
+++ b/cmd/beryltided/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/beryltide/beryltide/internal/bodybudget"
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/fleetd"
 	"github.com/beryltide/beryltide/internal/fleetview"
@@ -87,8 +88,8 @@
 		RegistryTopic: platform.RegistryTopic,
 		StatusTopic:   platform.StatusTopic,
 		WaveStatus:    platform.WaveStatus,
-		Callers: func(service *intake.Service, view *fleetview.View) http.Handler {
-			return &platform.Callers{Intake: service, Catalog: view.Catalog, ConfigurationAge: view.ConfigurationAge, Logger: logger, OnResponse: countResponses(scope)}
+		Callers: func(service *intake.Service, view *fleetview.View, bodies *bodybudget.Budget) http.Handler {
+			return &platform.Callers{Intake: service, Bodies: bodies, Catalog: view.Catalog, ConfigurationAge: view.ConfigurationAge, Logger: logger, OnResponse: countResponses(scope)}
 		},
 		Clock:       bootclock.System,
 		Metrics:     scope,
--- a/internal/fleetd/callerserver.go
+++ b/internal/fleetd/callerserver.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,10 +12,6 @@
 	"github.com/beryltide/beryltide/internal/catalog"
 )
 
-// acceptPause is the pause after a connection that couldn't be accepted, since the
-// process has too many open or the caller has gone.
-const acceptPause = 20 * time.Millisecond
-
 // connectionLimits are the limits of a connection. They are fixed for an http.Server, so
 // each connection is served by the server of the limits that apply when it is accepted.
 type connectionLimits struct {
@@ -56,8 +51,6 @@
 			c.assign(conn)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
-			time.Sleep(acceptPause)
 		default:
 			return errors.Wrap(err, c.listener.Addr().String())
 		}
@@ -86,7 +79,10 @@
 	s := c.servers[limits]
 	if s == nil {
 		s = &limitedServer{
-			Server:   &http.Server{Handler: c.handler, MaxHeaderBytes: limits.headerBytes, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout},
+			Server: &http.Server{
+				Handler: c.handler, MaxHeaderBytes: limits.headerBytes, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout,
+				ConnState: trackState,
+			},
 			accepted: &acceptedConns{address: c.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})},
 		}
 		c.servers[limits] = s
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/beryltide/beryltide/internal/bodybudget"
 	"github.com/beryltide/beryltide/internal/bootclock"
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/fleetview"
@@ -33,8 +34,9 @@
 
 const (
 	// memoryShare is the share of the process's memory that is the garbage
-	// collector's soft limit; stacks and kernel buffers take the rest.
-	memoryShare = 0.7
+	// collector's soft limit. The kernel's buffers of callers' connections take
+	// connectionShare, the program itself the rest.
+	memoryShare = 0.65
 	// configurationWait is how long a read waits for a change of the
 	// configuration: half of the shortest bound for a change to become active.
 	configurationWait = time.Second
@@ -84,7 +86,7 @@
 	// Machines is nil in a deployment without a machine service.
 	Machines machine.Client
 	// Callers returns the HTTP handler of callers' requests.
-	Callers func(*intake.Service, *fleetview.View) http.Handler
+	Callers func(*intake.Service, *fleetview.View, *bodybudget.Budget) http.Handler
 	Clock   bootclock.Clock
 	Metrics tally.Scope
 	// MetricsPage serves the metrics to operators.
@@ -109,6 +111,7 @@
 	owners   *poolOwners
 	service  *intake.Service
 	outage   *outage
+	limits   *callerLimits
 	stopping chan struct{}
 }
 
@@ -139,6 +142,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	defer cancelWork()
+	var err error
+	if d.limits, err = newCallerLimits(d.settings, &d.ports, d.logger); err != nil {
+		return err
+	}
 	unitOf := d.pools.Of
 	d.owners = &poolOwners{peers: d.peers, member: d.member, unitOf: unitOf}
 	d.units = newUnits(workCtx, d.deps(unitOf), d.fleetController())
@@ -160,7 +167,7 @@
 		services := ownerrpc.Services{Units: d.units, Log: d.log, Appender: d.service, MembersChanged: d.member.JoinSoon}
 		serveErrors <- ownerrpc.Serve(d.ports.PeersListener, services, d.logger)
 	}()
-	callers := newCallerServer(d.ports.Callers(d.service, d.view), d.ports.CallersListener, d.callerLimits)
+	callers := newCallerServer(d.ports.Callers(d.service, d.view, d.limits.bodies), d.ports.CallersListener, d.requestLimits)
 	go func() { serveErrors <- callers.serve() }()
 	go func() { serveErrors <- serve(d.server(http.HandlerFunc(d.ready)), d.ports.ReadinessListener) }()
 	go func() { serveErrors <- serve(d.server(d.operations()), d.ports.OperationsListener) }()
@@ -188,7 +195,7 @@
 			Move:   seconds(b.MoveS) + registryReadInterval,
 			Cancel: millis(b.CancelMS), Drain: millis(b.DrainMS), Evacuate: millis(b.EvacuateMS),
 		},
-		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: unitOf, InUse: d.pools.InUse,
+		Logger: d.logger, Meter: owner.NewMeter(d.ports.Metrics), UnitOf: unitOf, Jobs: d.limits.jobs, InUse: d.pools.InUse,
 		Holds:  d.member.Holds,
 		Sole:   func(t ownership.Tenure) bool { return d.member.HoldsWithin(t, ownership.SoleGrace) },
 		GiveUp: d.member.Discard,
@@ -222,7 +229,8 @@
 }
 
 // reportAges updates the gauges of the age and version of the configuration and
-// the age of the registry until the context ends.
+// the age of the registry, and applies the limits of callers that depend on time, until
+// the context ends.
 func (d *Daemon) reportAges(ctx context.Context) {
 	ticker := time.NewTicker(ageInterval)
 	defer ticker.Stop()
@@ -231,6 +239,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			d.limits.sweep(time.Now())
 			d.ports.Metrics.Gauge("configuration_age_seconds").Update(d.view.ConfigurationAge().Seconds())
 			d.ports.Metrics.Gauge("registry_age_seconds").Update(d.view.RegistryAge().Seconds())
 			if c := d.view.Catalog(); c != nil {
@@ -267,8 +276,8 @@
 	}
 }
 
-// callerLimits returns the limits of the active configuration.
-func (d *Daemon) callerLimits() catalog.Limits {
+// requestLimits returns the limits of the active configuration.
+func (d *Daemon) requestLimits() catalog.Limits {
 	if c := d.view.Catalog(); c != nil {
 		return c.Limits
 	}
@@ -276,7 +285,7 @@
 }
 
 func (d *Daemon) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ReadTimeout: headerTimeout, ConnState: trackState}
 }
 
 func serve(s *http.Server, l net.Listener) error {
--- a/internal/fleetd/documented_test.go
+++ b/internal/fleetd/documented_test.go
@@ -20,7 +20,7 @@
 	}
 	var inCode []string
 	call := regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([a-z_]+)"`)
-	for _, file := range []string{"daemon.go", "../owner/meter.go", "../../cmd/beryltided/fleet.go"} {
+	for _, file := range []string{"daemon.go", "limits.go", "../owner/meter.go", "../../cmd/beryltided/fleet.go"} {
 		source, err := os.ReadFile(file)
 		is.NoErr(err)
 		for _, m := range call.FindAllStringSubmatch(string(source), -1) {
