A body over its own or its team's share displaces no other team's

Cause: a body that would have taken its team over its share displaced stalled bodies of other teams, and so did one over the share of a single body, which then was refused all the same.

Change: the size that is asked for counts when the body to displace is chosen; a body over its own share displaces none.

--- a/internal/bodybudget/bodybudget.go
+++ b/internal/bodybudget/bodybudget.go
@@ -102,7 +102,7 @@
 		return m.cause
 	}
 	for !m.fits(n) {
-		victim := b.stalled(m, now)
+		victim := b.stalled(m, n, now)
 		if victim == nil {
 			b.stats.Refused++
 			return ErrFull
@@ -121,17 +121,26 @@
 	if m.held == b.stats.Bytes {
 		return m.held+n <= b.total
 	}
-	return b.stats.Bytes+n <= b.total && m.teamFits(n) && float64(m.held+n) <= shareOfBody*float64(b.total)
+	return b.stats.Bytes+n <= b.total && m.teamFits(n) && m.shareFits(n)
+}
+
+func (m *Body) shareFits(n int64) bool {
+	return float64(m.held+n) <= shareOfBody*float64(m.budget.total)
 }
 
 func (m *Body) teamFits(n int64) bool {
 	return float64(m.budget.byTeam[m.team]+n) <= shareOfTeam*float64(m.budget.total)
 }
 
-// stalled returns the body that has been without progress for the longest, at least for
-// MinStall; of the same team if that team holds too much.
-func (b *Budget) stalled(m *Body, now time.Time) *Body {
-	sameTeam := !m.teamFits(1)
+// stalled returns the body that has to give its memory to another one, which wants more:
+// the one that has been without progress for the longest, at least for MinStall; of the
+// same team if that team would hold too much. It returns nil if no other body's memory
+// helps.
+func (b *Budget) stalled(m *Body, n int64, now time.Time) *Body {
+	if !m.shareFits(n) {
+		return nil
+	}
+	sameTeam := !m.teamFits(n)
 	for e := b.arriving.Front(); e != nil; e = e.Next() {
 		other := e.Value.(*Body)
 		if now.Sub(other.progressAt) < MinStall {
--- a/internal/bodybudget/bodybudget_test.go
+++ b/internal/bodybudget/bodybudget_test.go
@@ -1,6 +1,7 @@
 package bodybudget
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,6 +31,47 @@
 	is.Equal(b.Stats(), Stats{Bytes: 600, Refused: 1, Displaced: 1})
 }
 
+// A body that doesn't fit into its team's share, or into that of a body, must not take
+// memory from other teams.
+func TestShareOfATeamSparesOthers(t *testing.T) {
+	is := is.New(t)
+	b, now, cut := New(1000), time.Unix(0, 0), new(cuts)
+	is.NoErr(b.Begin("other", cut, now).Grow(100, now)) // stalls
+	for range 2 {
+		m := b.Begin("hot", cut, now)
+		is.NoErr(m.Grow(240, now))
+		is.NoErr(m.Read())
+	}
+	now = now.Add(MinStall)
+	is.True(errors.Is(b.Begin("hot", cut, now).Grow(100, now), ErrFull))
+	is.True(errors.Is(b.Begin("third", cut, now).Grow(300, now), ErrFull))
+	is.Equal(int(*cut), 0)
+}
+
+// Replays callers that hold bodies of 256 KiB open just short of the end: the budget must
+// hold, and an ordinary body must get its memory.
+func TestReplayOfStalledBodies(t *testing.T) {
+	is := is.New(t)
+	const callers, size, total, ordinary = 1200, 256 << 10, 23 << 20, 4 << 10
+	b, now, cut := New(total), time.Unix(0, 0), new(cuts)
+	for n := range callers {
+		now = now.Add(time.Millisecond)
+		m := b.Begin(strconv.Itoa(n%7), cut, now)
+		for held := int64(ordinary); held <= size && m.Grow(held, now) == nil; held *= 2 {
+			m.Shrink(held / 2)
+			is.NoErr(m.Arrived(int(held/2), now))
+		}
+		is.True(b.Stats().Bytes <= total)
+	}
+	served := b.Begin("ordinary", cut, now.Add(MinStall))
+	is.NoErr(served.Grow(ordinary, now.Add(MinStall)))
+	is.NoErr(served.Read())
+	is.True(int(*cut) > 0)
+	b.Sweep(now.Add(Window)) // enough has arrived in the first window
+	b.Sweep(now.Add(2 * Window))
+	is.Equal(b.Stats().Bytes, int64(ordinary)) // all others were cut
+}
+
 // A body that was cut must be told so, and must not give its memory back twice.
 func TestCutBody(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleetd/documented_test.go
+++ b/internal/fleetd/documented_test.go
@@ -43,6 +43,7 @@
 	for _, c := range []struct{ from, to, want string }{
 		{`"callers":"127.0.0.1:1"`, `"callers":"nowhere"`, "f.json: callers: address nowhere: missing port in address"},
 		{`"units":24`, `"units":0`, "f.json: units: 0, want at least 1"},
+		{`"units":24`, `"units":24,"max_descriptors":200`, "f.json: max_descriptors: 200, want at least 300"},
 		{`"instance":"a"`, `"instance":""`, "f.json: instance: missing"},
 		{`"max_lease_ms":10000`, `"max_lease_ms":0`, "f.json: bounds.max_lease_ms: 0, want at least 1"},
 		{`"drain_ms":2000`, `"drain_ms":200`, "f.json: bounds.drain_ms: 200, want at least 1600"},
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -38,7 +38,7 @@
 	})
 	switch {
 	case full:
-		return errors.Wrap(ErrNotRun, "the pool's owner has no memory for a large job")
+		return ErrOwnerFull
 	case err != nil:
 		return errors.Wrap(ErrNotRun, "a large job: "+err.Error())
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,6 +43,9 @@
 	ErrMayRun = errors.New("unknown whether it was accepted")
 	// ErrTooLarge means that the store takes no record of the size. It wraps ErrNotRun.
 	ErrTooLarge = errors.Wrap(ErrNotRun, "the job is too large to be stored")
+	// ErrOwnerFull means that the unit's owner has no memory for a large job. It wraps
+	// ErrNotRun.
+	ErrOwnerFull = errors.Wrap(ErrNotRun, "the pool's owner has no memory for a large job")
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = owner.ErrNoJob
 	// ErrUnavailable means that the job's owner couldn't be queried.
