The tests of full listeners wait for the server's state; resets are covered

Cause: TestFullListenerClosesIdleConnections failed in 1 of 20 runs (0 != 200 at the busy connection): a server reports a connection idle only after its answer has arrived, and the test opened the next one before. The rule is meant so, the test lacked its precondition. The reset of a connection had no test.

Change: the test waits until the table shows one busy connection (Stats.Busy); TestUnreadAnswerEnds wants the connection to be reset.

Without SO_LINGER in limitedConn.reset: --- FAIL: TestUnreadAnswerEnds.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -36,8 +36,8 @@
 
 // Stats counts a table's connections.
 type Stats struct {
-	// Open is the number of connections now.
-	Open int
+	// Open is the number of connections now, Busy of those with a request.
+	Open, Busy int
 	// ClosedIdle and ClosedBusy count those closed for new ones, Unread those whose
 	// answers weren't read.
 	ClosedIdle, ClosedBusy, Unread int64
@@ -154,6 +154,6 @@
 func (t *Table) Stats() Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stats.Open = t.open()
+	t.stats.Open, t.stats.Busy = t.open(), t.busy.Len()
 	return t.stats
 }
--- a/internal/fleetd/limits_test.go
+++ b/internal/fleetd/limits_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/beryltide/beryltide/internal/connlimit"
 )
@@ -59,9 +61,16 @@
 	answer := make(chan int, 1)
 	go func() { answer <- exchange(busy, "wait") }()
 	<-begun
-	is.Equal(exchange(idle, "short"), http.StatusOK)
+	// The server reports a connection idle only after its answer has arrived.
+	answered := func(conn net.Conn) {
+		is.Equal(exchange(conn, "short"), http.StatusOK)
+		for l.table.Stats().Busy > 1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	answered(idle)
 	for range 10 {
-		is.Equal(exchange(dial(), "short"), http.StatusOK)
+		answered(dial())
 	}
 	is.Equal(exchange(idle, "short"), 0) // closed for a new one
 	close(release)
@@ -71,7 +80,8 @@
 	is.True(stats.Open <= 3)
 }
 
-// A connection whose answer isn't read must be closed, so that its request ends.
+// A connection whose answer isn't read must be reset, so that its request ends and the
+// kernel drops what hasn't been sent.
 func TestUnreadAnswerEnds(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan error, 1)
@@ -84,7 +94,8 @@
 			}
 		}
 	}))
-	_, err := io.WriteString(dial(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	conn := dial()
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	is.NoErr(err)
 	for l.table.Stats().Unread == 0 {
 		time.Sleep(10 * time.Millisecond)
@@ -92,4 +103,6 @@
 	}
 	is.True(<-ended != nil)
 	is.Equal(l.table.Stats().Open, 0)
+	_, err = io.Copy(io.Discard, conn)
+	is.True(errors.Is(err, syscall.ECONNRESET))
 }
