--- a/architecture_test.go
+++ b/architecture_test.go
@@ -23,8 +23,8 @@
 // aggregates are the packages with the rules of the system. They must not import
 // a package of ioPackages, directly or indirectly.
 var aggregates = []string{
-	"burn", "catalog", "configcheck", "configuration", "controlstate", "credit", "datacentre",
-	"dispatch", "fairshare", "fleet", "forecast", "job", "member", "planner", "quota", "rebalance", "record",
+	"bodybudget", "burn", "catalog", "configcheck", "configuration", "connlimit", "controlstate", "credit", "datacentre",
+	"dispatch", "fairshare", "fleet", "forecast", "job", "jobbudget", "member", "planner", "quota", "rebalance", "record",
 	"schedule", "shortage", "team", "verdict",
 }
 
