A key hash of zeros no longer stands for a missing key

Cause: the zero hash means that a request has no key, and a configured hash of 64 zeros, which passes validation, admitted such requests to queues that aren't open. Change: a request without a key is admitted to open queues only. The test fails without it.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -308,3 +308,16 @@
 		NewIndex(doc)
 	}
 }
+
+// A request without a key must not be admitted to a queue that isn't open, whatever hashes
+// the configuration holds: a hash of 64 zeros passes validation, and stood for no key.
+func TestKeyHashOfZerosAdmitsNobody(t *testing.T) {
+	is := is.New(t)
+	doc := &Document{
+		Queues: map[string]Queue{"q": {}},
+		Teams:  map[string]Team{"vets": {}},
+		Keys:   map[string]Key{"zeros": {Team: "vets", Hash: KeyHash{}.String()}},
+	}
+	_, err := NewIndex(doc).Authorize("q", NewKeyHash(""))
+	is.Equal(err, ErrUnauthorized)
+}
--- a/internal/configuration/index.go
+++ b/internal/configuration/index.go
@@ -46,8 +46,12 @@
 	if !ok {
 		return "", errors.Wrapf(ErrUnknownQueue, "%q", queue)
 	}
-	if key == (KeyHash{}) && q.Open {
-		return q.OpenTeam, nil
+	if key == (KeyHash{}) {
+		if q.Open {
+			return q.OpenTeam, nil
+		}
+		// A configured key whose hash is all zeros must not stand for a missing key.
+		return "", ErrUnauthorized
 	}
 	team, ok := x.teams[key]
 	if !ok {
