A test of the owner's budget with two daemons

Cause: TestAcceptedJobsFillTheOwner had one daemon, so the question to an owner in another process wasn't tested.

Change: the test runs with one and with two daemons at one store.

--- a/tools/callerload/callers_test.go
+++ b/tools/callerload/callers_test.go
@@ -149,20 +149,30 @@
 }
 
 // Whole legal bodies, accepted one after another, must not fill the memory of the owner,
-// which keeps all jobs.
+// which keeps all jobs, whether it takes them itself or another daemon does.
 func TestAcceptedJobsFillTheOwner(t *testing.T) {
-	d := startDaemon(t, 96, 4100)
-	client := &http.Client{Timeout: 10 * time.Second}
-	body := largeBody(bodyBytes - 1000) // fits into a record of the store
-	for n := range 600 {
-		r, err := submission(d.settings.Callers, keyedPath, key(n), strings.NewReader(body))
-		must(t, err)
-		if resp, err := client.Do(r); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		}
+	for _, count := range []int{1, 2} {
+		t.Run(fmt.Sprintf("daemons=%d", count), func(t *testing.T) {
+			fake := newStore(t)
+			var daemons []*daemon
+			for range count {
+				daemons = append(daemons, startDaemonAt(t, fake, 96, 4100))
+			}
+			client := &http.Client{Timeout: 10 * time.Second}
+			body := largeBody(bodyBytes - 1000) // fits into a record of the store
+			for n := range 600 {
+				r, err := submission(daemons[n%count].settings.Callers, keyedPath, key(n), strings.NewReader(body))
+				must(t, err)
+				if resp, err := client.Do(r); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			}
+			for _, d := range daemons {
+				d.check()
+			}
+		})
 	}
-	d.check()
 }
 
 // A single request within the limits must be served, however its body is sent.
--- a/tools/callerload/daemon_test.go
+++ b/tools/callerload/daemon_test.go
@@ -60,12 +60,22 @@
 	usage    *usage
 }
 
-// startDaemon starts a daemon with lowered limits and waits until it is ready.
-func startDaemon(t *testing.T, memoryMB, maxDescriptors int) *daemon {
+func newStore(t *testing.T) *memstore.Store {
 	t.Helper()
 	fake := memstore.New(2)
 	fake.Limits = store.Limits{Record: 262_144, Append: 2_097_152}
 	must(t, fake.Client().Append(context.Background(), "keyed.op", 0, []store.Record{{Key: "config", Value: configuration(t)}}, nil))
+	return fake
+}
+
+// startDaemon starts a daemon with lowered limits and waits until it is ready.
+func startDaemon(t *testing.T, memoryMB, maxDescriptors int) *daemon {
+	t.Helper()
+	return startDaemonAt(t, newStore(t), memoryMB, maxDescriptors)
+}
+
+func startDaemonAt(t *testing.T, fake *memstore.Store, memoryMB, maxDescriptors int) *daemon {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	t.Cleanup(func() { _ = l.Close() })
