The test of a single large body waits until the owner answers

Cause: a daemon is ready before its units are loaded, and a large submission is refused while its owner can't be asked, so the test could fail at a daemon that has just started. It hasn't been seen to.

Change: the test first asks for the queue's waiting jobs until the owner answers.

--- a/tools/callerload/callers_test.go
+++ b/tools/callerload/callers_test.go
@@ -180,6 +180,15 @@
 	for name, send := range map[string]sender{"whole": whole, "in pieces": inPieces, "in one-byte chunks": inChunks(1)} {
 		t.Run(name, func(t *testing.T) {
 			d := startDaemon(t, 96, 4100)
+			// A daemon is ready before its units are loaded, and asks the owner of a large job.
+			d.ordinary("waiting jobs", func() (*http.Request, error) {
+				r, err := http.NewRequest(http.MethodGet, "http://"+d.settings.Callers+keyedPath, nil)
+				if err == nil {
+					r.Host = queueHost
+					r.Header.Set("X-Api-Key", key(0))
+				}
+				return r, err
+			})
 			conn, err := net.Dial("tcp", d.settings.Callers)
 			must(t, err)
 			defer conn.Close()
