--- a/tools/callerload/callers_test.go
+++ b/tools/callerload/callers_test.go
@@ -149,20 +149,30 @@
 }
 
 // Whole legal bodies, accepted one after another, must not fill the memory of the owner,
-// which keeps all jobs.
+// which keeps all jobs, whether it takes them itself or another daemon does.
 func TestAcceptedJobsFillTheOwner(t *testing.T) {
-	d := startDaemon(t, 96, 4100)
-	client := &http.Client{Timeout: 10 * time.Second}
-	body := largeBody(bodyBytes - 1000) // fits into a record of the store
-	for n := range 600 {
-		r, err := submission(d.settings.Callers, keyedPath, key(n), strings.NewReader(body))
-		must(t, err)
-		if resp, err := client.Do(r); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		}
+	for _, count := range []int{1, 2} {
+		t.Run(fmt.Sprintf("daemons=%d", count), func(t *testing.T) {
+			fake := newStore(t)
+			var daemons []*daemon
+			for range count {
+				daemons = append(daemons, startDaemonAt(t, fake, 96, 4100))
+			}
+			client := &http.Client{Timeout: 10 * time.Second}
+			body := largeBody(bodyBytes - 1000) // fits into a record of the store
+			for n := range 600 {
+				r, err := submission(daemons[n%count].settings.Callers, keyedPath, key(n), strings.NewReader(body))
+				must(t, err)
+				if resp, err := client.Do(r); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			}
+			for _, d := range daemons {
+				d.check()
+			}
+		})
 	}
-	d.check()
 }
 
 // A single request within the limits must be served, however its body is sent.
@@ -170,6 +180,15 @@
 	for name, send := range map[string]sender{"whole": whole, "in pieces": inPieces, "in one-byte chunks": inChunks(1)} {
 		t.Run(name, func(t *testing.T) {
 			d := startDaemon(t, 96, 4100)
+			// A daemon is ready before its units are loaded, and asks the owner of a large job.
+			d.ordinary("waiting jobs", func() (*http.Request, error) {
+				r, err := http.NewRequest(http.MethodGet, "http://"+d.settings.Callers+keyedPath, nil)
+				if err == nil {
+					r.Host = queueHost
+					r.Header.Set("X-Api-Key", key(0))
+				}
+				return r, err
+			})
 			conn, err := net.Dial("tcp", d.settings.Callers)
 			must(t, err)
 			defer conn.Close()
