--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -25,8 +25,10 @@
 	failedRuns map[job.TaskID]map[int]bool
 	// drainingSince is when the first instance began to drain.
 	drainingSince time.Time
-	// teamCPU is what the team has running.
-	teamCPU int
+	// teamCPU is what each team has running.
+	teamCPU map[string]int
+	// usualStarts counts the starts among which slow ones are drawn.
+	usualStarts int
 	// violations holds the broken promises, each with its time since the start.
 	violations []string
 	startedAt  time.Time
@@ -54,7 +56,7 @@
 func newChecker() *checker {
 	return &checker{
 		jobs: map[string]*jobRecord{}, runsOf: map[job.TaskID]map[string]*observedRun{}, acknowledgedAt: map[job.TaskID]time.Time{},
-		failedRuns: map[job.TaskID]map[int]bool{}, startedAt: time.Now(),
+		failedRuns: map[job.TaskID]map[int]bool{}, teamCPU: map[string]int{}, startedAt: time.Now(),
 		counts: counts{kinds: map[jobKind]int{}, drawn: map[string]int{}, effective: map[string]int{}, exercised: map[judge]int{}},
 	}
 }
@@ -173,9 +175,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if observed := c.runsOf[r.id][at.id]; observed != nil {
-		c.teamCPU -= observed.step.cpu
+		c.teamCPU[r.plan.team] -= observed.step.cpu
 	}
 	delete(c.runsOf[r.id], at.id)
+	c.countSlow(r, how)
 	rec := c.jobs[r.id.Job]
 	if rec == nil || how != job.EndDone {
 		return
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -70,6 +70,8 @@
 	run       int
 	plan      *jobPlan
 	startedAt time.Time
+	// slow runs take slowFactor times as long as usual.
+	slow bool
 }
 
 func (r *taskRun) step() *stepPlan { return &r.plan.steps[r.id.Step] }
@@ -79,6 +81,9 @@
 	if r.plan.runTime > 0 {
 		return r.plan.runTime
 	}
+	if r.slow {
+		return slowFactor * runTime
+	}
 	return runTime
 }
 
@@ -275,7 +280,7 @@
 	case o.Deadline <= i.clockMS():
 		return "late"
 	}
-	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now()}
+	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now(), slow: i.checker.drawSlow(plan, id.Step)}
 	i.lastRun[id], i.runs[id] = o.Run, r
 	i.gangs.joined(r)
 	i.checker.started(i, id, o.Run, o.Spec)
