Orders to machines aren't sent after the cordon of their instances has ended

Cause: a pass of the leader may release more machines than the rate limit lets it order within the 3 s for which they stay cordoned. Change: an order is sent only within 2 s of the call that released its instance, so that it arrives before the cordon ends; the others are planned again. Measured: the test fails without the bound.

--- a/internal/maintenance/moves.go
+++ b/internal/maintenance/moves.go
@@ -26,6 +26,7 @@
 // pool.
 func (c *Controller) rebalance(ctx context.Context, configuration *catalog.Catalog) {
 	snapshot := c.moveSnapshot(configuration)
+	releasedAt := time.Now()
 	moves := c.executableMoves(ctx, append(c.drainingMoves(), rebalance.Plan(snapshot)...))
 	orders := make([]order, len(moves))
 	for n, m := range moves {
@@ -33,7 +34,7 @@
 			return c.Machines.Move(ctx, by, m.Machine, m.To)
 		}}
 	}
-	for n, err := range c.send(ctx, orders) {
+	for n, err := range c.send(ctx, orders, releasedAt) {
 		c.handleMoveResult(moves[n], err)
 	}
 	c.supply = supply{byPool: suppliesOf(c.moveSnapshot(configuration)), at: time.Now()}
--- a/internal/maintenance/moves_test.go
+++ b/internal/maintenance/moves_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/beryltide/beryltide/internal/catalog"
 	"github.com/beryltide/beryltide/internal/machine"
 	"github.com/beryltide/beryltide/internal/memstore"
+	"github.com/beryltide/beryltide/internal/owner"
 	"github.com/beryltide/beryltide/internal/rebalance"
 )
 
@@ -102,3 +107,39 @@
 		synctest.Wait()
 	})
 }
+
+// Orders that the rate limit holds back for longer than the instances stay cordoned must
+// not be sent: tasks start there again, and a late order ends them. A fleet of 3,000
+// machines returned so many idle ones at its start that long-running tasks were ended.
+func TestOrdersAreNotSentAfterTheCordon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count, perSecond = 40, 8
+		s, f := memstore.New(1), newFakeMachines(1)
+		c := newController(t.Context(), s.Client(), f, &fakeOwners{}, waveView(f, &catalog.Pool{Name: "p"}, atOnce), 1)
+		c.OrderLimiter = rate.NewLimiter(perSecond, 1)
+		c.recentOrders = map[string]lastOrder{}
+		released := time.Now()
+		var mu sync.Mutex
+		sent := 0
+		orders := make([]order, count)
+		for n := range orders {
+			orders[n] = order{machine: fmt.Sprint(n), call: func(context.Context, machine.Holder) error {
+				mu.Lock()
+				defer mu.Unlock()
+				sent++
+				is.True(time.Since(released)+orderTime <= owner.CordonTTL)
+				return nil
+			}}
+		}
+		errs := c.send(t.Context(), orders, released)
+		notDone := 0
+		for _, err := range errs {
+			if errors.Is(err, machine.ErrNotDone) {
+				notDone++
+			}
+		}
+		is.True(sent >= perSecond) // as many as the limit allows
+		is.Equal(sent+notDone, count)
+	})
+}
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/beryltide/beryltide/internal/machine"
+	"github.com/beryltide/beryltide/internal/owner"
 	"github.com/beryltide/beryltide/internal/store"
 )
 
@@ -67,6 +68,13 @@
 	maxConcurrentOrders = 16
 	// recordInterval is the minimum time between two updates of the recorded ages.
 	recordInterval = 500 * time.Millisecond
+	// orderTime is the longest time that an order is under way.
+	orderTime = time.Second
+	// releaseValidity is how long after the call that released an instance an order to
+	// its machine may be sent: it arrives before the cordon ends. At 193 orders a second
+	// a fleet of 3,000 machines once had more of them to send than in that time; those
+	// sent later ended tasks that had been started since.
+	releaseValidity = owner.CordonTTL - orderTime
 )
 
 // order is a call to the platform that concerns one machine.
@@ -76,10 +84,11 @@
 	call    func(ctx context.Context, by machine.Holder) error
 }
 
-// send records the orders, then sends them concurrently under the rate limit. It
-// returns an error or nil for each order, and a nil slice without sending any if
-// they couldn't be recorded.
-func (c *Controller) send(ctx context.Context, orders []order) []error {
+// send records the orders, then sends them concurrently under the rate limit, as far as
+// the instances that were released at the given time are still cordoned. It returns an
+// error or nil for each order, and a nil slice without sending any if they couldn't be
+// recorded.
+func (c *Controller) send(ctx context.Context, orders []order, releasedAt time.Time) []error {
 	if len(orders) == 0 || !c.recordIntent(ctx, orders) {
 		return nil
 	}
@@ -88,7 +97,7 @@
 	group.SetLimit(maxConcurrentOrders)
 	for n, o := range orders {
 		group.Go(func() error {
-			errs[n] = c.sendOne(ctx, o)
+			errs[n] = c.sendOne(ctx, o, releasedAt.Add(releaseValidity))
 			return nil
 		})
 	}
@@ -101,14 +110,20 @@
 }
 
 // sendOne waits for the rate limiter, then sends an order if the tenure is still
-// confirmed. An error that wraps machine.ErrNotDone means that it had no effect.
-func (c *Controller) sendOne(ctx context.Context, o order) error {
-	if err := c.OrderLimiter.Wait(ctx); err != nil {
+// confirmed and it isn't too late for it. An error that wraps machine.ErrNotDone means that
+// it had no effect.
+func (c *Controller) sendOne(ctx context.Context, o order, latest time.Time) error {
+	waitCtx, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	if err := c.OrderLimiter.Wait(waitCtx); err != nil {
 		return errors.Wrap(machine.ErrNotDone, err.Error())
 	}
 	if !c.Holds(c.Tenure, OrderGrace) {
 		return errors.Wrap(machine.ErrNotDone, "the tenure isn't confirmed")
 	}
+	if !time.Now().Before(latest) {
+		return errors.Wrap(machine.ErrNotDone, "the instance may not be cordoned any more")
+	}
 	return o.call(ctx, machine.Holder{Name: c.Name, Fence: c.Tenure.Epoch})
 }
 
--- a/internal/maintenance/waves.go
+++ b/internal/maintenance/waves.go
@@ -77,7 +77,8 @@
 		p.stages[name] = Draining
 		c.Logger.Info("maintenance.begin", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.String("instance", c.listed[name].Instance), zap.String("pool", c.listed[name].Pool))
 	}
-	c.orderDown(ctx, wave, p, c.drained(ctx, p))
+	releasedAt := time.Now()
+	c.orderDown(ctx, wave, p, c.drained(ctx, p), releasedAt)
 	c.recordProgress(ctx, wave, p)
 }
 
@@ -213,15 +214,15 @@
 	return append(empty, c.release(ctx, occupied)...)
 }
 
-// orderDown orders empty machines down for maintenance.
-func (c *Controller) orderDown(ctx context.Context, wave catalog.Wave, p *progress, machines []machine.Machine) {
+// orderDown orders empty machines, released at the given time, down for maintenance.
+func (c *Controller) orderDown(ctx context.Context, wave catalog.Wave, p *progress, machines []machine.Machine, releasedAt time.Time) {
 	orders := make([]order, len(machines))
 	for n, m := range machines {
 		orders[n] = order{machine: m.Name, kind: maintainOrder, call: func(ctx context.Context, by machine.Holder) error {
 			return c.Machines.Maintain(ctx, by, m.Name, wave.Number)
 		}}
 	}
-	for n, err := range c.send(ctx, orders) {
+	for n, err := range c.send(ctx, orders, releasedAt) {
 		c.handleMaintainResult(wave, p, machines[n], err)
 	}
 }
--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// cordonTTL is how long a cordon lasts after the last release call that names
+	// CordonTTL is how long a cordon lasts after the last release call that names
 	// the instance.
-	cordonTTL = 3 * time.Second
+	CordonTTL = 3 * time.Second
 	// orderSettleTime is how long an order of a former owner may take to arrive. A
 	// task stopped by it is still listed as running for up to the platform's stop
 	// timeout.
@@ -22,7 +22,7 @@
 	emptyTimeout = 4 * time.Second
 )
 
-func (s *session) cordoned(now time.Time) bool { return now.Sub(s.cordonRenewedAt) < cordonTTL }
+func (s *session) cordoned(now time.Time) bool { return now.Sub(s.cordonRenewedAt) < CordonTTL }
 
 // released reports whether the instance was emptied for an order to its machine, so
 // that its end is expected.
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -78,7 +78,7 @@
 	failStreak int
 	failedAt   time.Time
 	// cordonRenewedAt is when a release last named the instance. Nothing starts
-	// there for cordonTTL after it.
+	// there for CordonTTL after it.
 	cordonRenewedAt, cordonedSince time.Time
 	// idleSince is when the last run there ended, or when the session began.
 	idleSince time.Time
