--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -30,8 +30,6 @@
 	client  *http.Client
 	random  *rand.Rand
 	name    int
-	// team is the caller's, and key the team's key.
-	team, key string
 	// meanPause is the mean time between two jobs.
 	meanPause time.Duration
 	// jobs holds the accepted jobs.
@@ -49,7 +47,7 @@
 	)
 	return &caller{
 		meanPause: time.Duration(callerCount * meanTasks / tasksBusy * float64(h.instances[0].runTime)),
-		harness:   h, name: name, team: teamName, key: keyInForce, random: rand.New(rand.NewPCG(seed, uint64(name))),
+		harness:   h, name: name, random: rand.New(rand.NewPCG(seed, uint64(name))),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}},
 	}
 }
@@ -83,7 +81,7 @@
 // callAny calls a daemon drawn at random.
 func (c *caller) callAny(method string, p *jobPlan, body []byte) (int, job.State) {
 	d := c.harness.daemons[c.random.IntN(len(c.harness.daemons))]
-	return c.call(d, c.key, method, p.queue.path+p.id, body)
+	return c.call(d, keyInForce, method, p.queue.path+p.id, body)
 }
 
 // run submits jobs until the context ends, beginning with the given kinds, each until one
@@ -113,7 +111,6 @@
 // submit submits one job and repeats it until it is accepted, at most submitAttempts
 // times; some callers give up after one or two, so that refusals stand.
 func (c *caller) submit(ctx context.Context, p *jobPlan) {
-	p.team = c.team
 	body := p.body()
 	c.harness.checker.submitted(p)
 	refused, attempts := true, submitAttempts
@@ -145,7 +142,7 @@
 	after := time.Duration(500+c.random.IntN(3000)) * time.Millisecond
 	c.repeats.Go(func() {
 		pause.For(ctx, after)
-		if status, _ := c.call(d, c.key, http.MethodPost, p.queue.path+p.id, body); status == http.StatusOK {
+		if status, _ := c.call(d, keyInForce, http.MethodPost, p.queue.path+p.id, body); status == http.StatusOK {
 			c.harness.checker.exercise(judgeRepeated)
 		}
 	})
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -25,10 +25,8 @@
 	failedRuns map[job.TaskID]map[int]bool
 	// drainingSince is when the first instance began to drain.
 	drainingSince time.Time
-	// teamCPU is what each team has running.
-	teamCPU map[string]int
-	// usualStarts counts the starts among which slow ones are drawn.
-	usualStarts int
+	// teamCPU is what the team has running.
+	teamCPU int
 	// violations holds the broken promises, each with its time since the start.
 	violations []string
 	startedAt  time.Time
@@ -56,7 +54,7 @@
 func newChecker() *checker {
 	return &checker{
 		jobs: map[string]*jobRecord{}, runsOf: map[job.TaskID]map[string]*observedRun{}, acknowledgedAt: map[job.TaskID]time.Time{},
-		failedRuns: map[job.TaskID]map[int]bool{}, teamCPU: map[string]int{}, startedAt: time.Now(),
+		failedRuns: map[job.TaskID]map[int]bool{}, startedAt: time.Now(),
 		counts: counts{kinds: map[jobKind]int{}, drawn: map[string]int{}, effective: map[string]int{}, exercised: map[judge]int{}},
 	}
 }
@@ -175,10 +173,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if observed := c.runsOf[r.id][at.id]; observed != nil {
-		c.teamCPU[r.plan.team] -= observed.step.cpu
+		c.teamCPU -= observed.step.cpu
 	}
 	delete(c.runsOf[r.id], at.id)
-	c.countSlow(r, how)
 	rec := c.jobs[r.id.Job]
 	if rec == nil || how != job.EndDone {
 		return
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -44,7 +44,6 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	h.injectLoads(ctx, &wg)
 	for ctx.Err() == nil {
 		f := h.drawFault(random)
 		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -70,8 +70,6 @@
 	run       int
 	plan      *jobPlan
 	startedAt time.Time
-	// slow runs take slowFactor times as long as usual.
-	slow bool
 }
 
 func (r *taskRun) step() *stepPlan { return &r.plan.steps[r.id.Step] }
@@ -81,9 +79,6 @@
 	if r.plan.runTime > 0 {
 		return r.plan.runTime
 	}
-	if r.slow {
-		return slowFactor * runTime
-	}
 	return runTime
 }
 
@@ -280,7 +275,7 @@
 	case o.Deadline <= i.clockMS():
 		return "late"
 	}
-	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now(), slow: i.checker.drawSlow(plan, id.Step)}
+	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now()}
 	i.lastRun[id], i.runs[id] = o.Run, r
 	i.gangs.joined(r)
 	i.checker.started(i, id, o.Run, o.Spec)
--- a/tools/soak/jobs.go
+++ b/tools/soak/jobs.go
@@ -20,7 +20,6 @@
 	// hopelessCPU is more than any instance has.
 	hopelessCPU = 64_000
 	gangMembers = 4
-	wideTasks   = 16
 	// maxStepTasks is the largest number of tasks that a step may have.
 	maxStepTasks = 10_000
 )
@@ -28,7 +27,7 @@
 // jobKind is a kind of job that callers submit.
 type jobKind string
 
-// The kinds. Each seed submits all but large, limit and wide ones.
+// The kinds. Each seed submits all but large and limit ones.
 const (
 	plain     jobKind = "plain"
 	manyEnds  jobKind = "many ends"
@@ -40,8 +39,6 @@
 	hopeless  jobKind = "hopeless"
 	large     jobKind = "large"
 	limit     jobKind = "at the limit"
-	// wide jobs are those of the surging team.
-	wide jobKind = "wide"
 )
 
 // rareKinds are submitted once by one caller, at the beginning, in this order.
@@ -60,7 +57,6 @@
 type jobPlan struct {
 	id      string
 	kind    jobKind
-	team    string
 	queue   *queue
 	payload string
 	steps   []stepPlan
@@ -108,8 +104,6 @@
 		p.steps[0].label = labels[random.IntN(len(labels))]
 	case failing:
 		p.failures = 1 + random.IntN(q.maxAttempts)
-	case wide:
-		p.steps[0].count = wideTasks
 	case hopeless:
 		p.steps = []stepPlan{{count: 50, cpu: hopelessCPU}}
 	case large, limit:
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -202,13 +202,6 @@
 		}
 		wg.Go(func() { c.run(working, first) })
 	}
-	if h.loads.surge {
-		for n := range surgeCallers {
-			c := newSurgeCaller(h, n)
-			all = append(all, c)
-			wg.Go(func() { c.runSurging(working) })
-		}
-	}
 	schedule := h.injectFaults(ctx, random)
 	stop()
 	wg.Wait()
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -16,16 +16,8 @@
 	keyWithdrawn  = "key-2"
 	withdrawAfter = 500 * time.Millisecond
 	movingQueue   = "r-moves"
-	// surgeTeam sends several times its usual rate in some seeds; its jobs count against
-	// a limit of teamCPU of their own. The weights are in proportion to the usual rates.
-	surgeTeam   = "u"
-	surgeKey    = "key-3"
-	teamWeight  = 100
-	surgeWeight = 40
-	// maxBodyBytes is the limit of a submission's body.
-	maxBodyBytes = 65_536
-	firstPool    = "p"
-	secondPool   = "q"
+	firstPool     = "p"
+	secondPool    = "q"
 )
 
 // queue is a queue of the configuration.
@@ -90,11 +82,8 @@
 	}
 	data, err := json.Marshal(map[string]any{
 		"version": o.version, "routes": routes, "services": []map[string]any{{"name": firstPool}, {"name": secondPool}},
-		"limits": map[string]int{"max_body_bytes": maxBodyBytes},
-		"tenants": []map[string]any{
-			{"name": teamName, "api_keys": keys, "weight": teamWeight, "cap": map[string]int{"cpu": teamCPU}},
-			{"name": surgeTeam, "api_keys": []string{surgeKey}, "weight": surgeWeight, "cap": map[string]int{"cpu": teamCPU}},
-		},
+		"limits":  map[string]int{"max_body_bytes": 65536},
+		"tenants": []map[string]any{{"name": teamName, "api_keys": keys, "weight": 100, "cap": map[string]int{"cpu": teamCPU}}},
 	})
 	if err != nil {
 		panic(err) // strings and numbers can be encoded
--- a/tools/soak/starts.go
+++ b/tools/soak/starts.go
@@ -28,15 +28,15 @@
 		c.runsOf[id] = map[string]*observedRun{}
 	}
 	c.runsOf[id][at.id] = &observedRun{run: run, step: step}
-	c.teamCPU[rec.team] += step.cpu
+	c.teamCPU += step.cpu
 	if used := at.usedCPU(); used > at.cpu {
 		c.violation("%v run %d at %s: runs use %d of its %d CPU units", id, run, at.id, used, at.cpu)
 	}
 	c.counts.exercised[judgeCapacity]++
-	if allowed := int(teamCPU*(1+teamOverage)) + taskCPU; c.teamCPU[rec.team] > allowed {
-		c.violation("%v run %d at %s: the team %s uses %d CPU units, may use %d", id, run, at.id, rec.team, c.teamCPU[rec.team], allowed)
+	if allowed := int(teamCPU*(1+teamOverage)) + taskCPU; c.teamCPU > allowed {
+		c.violation("%v run %d at %s: the team uses %d CPU units, may use %d", id, run, at.id, c.teamCPU, allowed)
 	}
-	if c.teamCPU[rec.team] > teamCPU/2 {
+	if c.teamCPU > teamCPU/2 {
 		c.counts.exercised[judgeTeam]++
 	}
 }
