--- a/internal/shortage/order.go
+++ b/internal/shortage/order.go
@@ -6,15 +6,14 @@
 )
 
 const (
-	// nearlyDone is the part of its work up to which a job is nearly completed: what has
-	// been done for it is of no use to its caller while it is set aside.
+	// nearlyDone is the part of its work up to which a late job is nearly completed: what
+	// has been done for it is of no use to its caller while it is set aside.
 	nearlyDone = 0.5
-	// urgencyInTime and urgencyLate are the slack, as a multiple of a job's objective,
-	// for which its rank falls by a factor of e: a job with much time left can wait for
-	// one that would miss its objective, and a late one for one that is about to lose
-	// its value. The slack is at least urgencyOfBacklog times the backlog, as with a long
-	// backlog most of the jobs that get urgent can't be served. With these figures fewest
-	// jobs lose their value in replays of both customers' peaks and of random ones.
+	// urgencyLate is the slack, as a multiple of a late job's objective, for which its rank
+	// falls by a factor of e: it can wait for one that is about to lose its value. The slack
+	// is at least urgencyOfBacklog times the backlog, as with a long backlog most of the jobs
+	// that get urgent can't be served. With these figures fewest jobs lose their value in
+	// replays of both customers' peaks and of random ones.
 	urgencyLate      = 2.0
 	urgencyOfBacklog = 2.0
 )
@@ -28,9 +27,10 @@
 )
 
 // Rank returns a job's prospect, and its rank within the prospect, lowest first: by
-// priority, then jobs that are nearly done, then by the value per remaining core-second,
-// less for jobs with time left. Jobs without value, and overdue ones, rank in the order of
-// acceptance.
+// priority, then by the value per remaining core-second. Late jobs that are nearly done come
+// before the others, and the value counts less for late jobs with time left: urgency would
+// spend capacity on jobs in time that miss their objective all the same. Jobs without
+// value, and overdue ones, rank in the order of acceptance.
 func Rank(now time.Time, j Job) (Prospect, float64) {
 	prospect := j.Prospect(now)
 	if prospect == NoValue || prospect == Overdue {
