Restarts of instances under their IDs are logged and counted

The log showed contact lost and regained, but not that the incarnation had changed, nor whether orders had extended its lease by the former clock: the hypotheses of the incident could not be told apart. instance.restarted does, and instance_restarts counts them.

--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -30,6 +30,7 @@
 	if reading == nil {
 		return 0
 	}
+	s.extensions.Add(1)
 	now := s.unit.Clock()
 	s.putOffExpiry(now + s.unit.leaseUpperBound())
 	elapsed := time.Duration(float64(now-reading.at) * minClockRate)
--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -17,7 +17,9 @@
 	states    map[job.State]tally.Counter
 	// pollFailed counts polls that failed, and so extended no lease.
 	pollFailed tally.Counter
-	scope      tally.Scope
+	// restarts counts instances that were found restarted under their ID.
+	restarts tally.Counter
+	scope    tally.Scope
 }
 
 // poolGauges are a unit's gauges of one of its pools.
@@ -66,6 +68,7 @@
 		states:    map[job.State]tally.Counter{},
 
 		pollFailed: scope.Counter("looks_failed"),
+		restarts:   scope.Counter("instance_restarts"),
 		scope:      scope,
 	}
 	for _, how := range []job.End{job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken, job.EndAlone, job.EndLost} {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/pause"
 )
@@ -65,12 +67,19 @@
 
 // recordAnswer notes which incarnation answered, and what was acknowledged.
 func (s *session) recordAnswer(incarnation, acknowledged int64) {
+	extended := s.extensions.Swap(0)
 	if incarnation != s.polledIncarnation {
+		if s.polledIncarnation != 0 {
+			s.unit.Meter.restarts.Inc(1)
+			s.unit.Logger.Info("instance.restarted", zap.String("instance", s.target.Load().ID), zap.Int64("former", s.polledIncarnation),
+				zap.Int64("incarnation", incarnation), zap.Int64("extensions", extended), zap.Duration("without_answer", time.Since(s.answeredAt)))
+		}
 		s.polledIncarnation, s.lastAcknowledged = incarnation, 0
 	} else {
 		s.lastAcknowledged = max(s.lastAcknowledged, acknowledged)
 	}
 	s.polledAt = time.Now()
+	s.answeredAt = s.polledAt
 }
 
 // schedulePoll schedules the next poll with the ends recorded so far. The
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -88,15 +88,18 @@
 
 	// polledIncarnation is the incarnation that answered the last poll, at
 	// polledAt (zero after a failed poll), and lastAcknowledged the number of the
-	// last end acknowledged to it. They belong to the poll goroutine.
+	// last end acknowledged to it. answeredAt is like polledAt, but stays after a failed
+	// poll. They belong to the poll goroutine.
 	polledIncarnation, lastAcknowledged int64
-	polledAt                            time.Time
+	polledAt, answeredAt                time.Time
 
 	target atomic.Pointer[instance.Registration]
 	clock  atomic.Pointer[clockReading]
 	// leaseExpiry is when all leases there have expired at the latest, in
 	// nanoseconds of the boot clock.
 	leaseExpiry atomic.Int64
+	// extensions counts the orders that extended the lease since the last answer to a poll.
+	extensions atomic.Int64
 	// outOfContact forbids extending the lease: a poll has failed, or the store
 	// still holds a record of lost contact.
 	outOfContact atomic.Bool
