A lease by the clock of a former incarnation is waited out

An instance takes orders that were meant for its former incarnation: its ID is the same. Its clock starts anew, so the lease in such an order lies far ahead and is cut to the longest that the instance grants, 10 s. The owner counted on the 6 s that it had asked for, and started the runs elsewhere while they went on.

Now each order that extends a lease also moves the time until which a lease at another incarnation could last. That time counts once a restart is seen, and for runs that no listing has shown. A successor counts on the longest lease until the instance has answered it. A start isn't repeated once its run is listed: the repeat could start it at the next incarnation. In calm all other runs are given up as early as before.

--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -71,7 +71,7 @@
 	sess.unreachable = true
 	if !sess.lossRecorded && len(sess.runs) > 0 {
 		sess.lossRecorded = true
-		left := time.Duration(sess.leaseExpiry.Load()) - u.Clock()
+		left := sess.lastExpiry() - u.Clock()
 		u.recordLoss(sess, &contactLoss{LapsedBy: now.Add(left).UnixMilli()})
 	}
 }
--- a/internal/owner/contact_test.go
+++ b/internal/owner/contact_test.go
@@ -75,7 +75,7 @@
 	sess.sendOrder(o)
 	is.Equal(lease, time.Duration(0))
 	is.Equal(sess.leaseExpiry.Load(), first)
-	sess.putOffExpiry(time.Duration(first) - time.Second)
+	putOff(&sess.leaseExpiry, time.Duration(first)-time.Second)
 	is.Equal(sess.leaseExpiry.Load(), first)
 	o.carriesLease = true
 	sess.sendOrder(o)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -279,7 +279,11 @@
 	return i.acknowledged
 }
 
-const unreachableTimeout = 400 * time.Millisecond
+const (
+	unreachableTimeout = 400 * time.Millisecond
+	// unansweredTimeout is how long an order is waited for that gets no answer.
+	unansweredTimeout = 500 * time.Millisecond
+)
 
 func (d *daemon) Start(_ context.Context, at instance.Registration, s instance.Start) error {
 	i := d.reachable(at.ID)
@@ -379,6 +383,8 @@
 	acknowledged int64
 	// done counts completed runs by task.
 	done map[job.TaskID]int
+	// restarts counts the calls of restart.
+	restarts int
 }
 
 type fakeRun struct {
@@ -412,6 +418,24 @@
 
 func (i *fakeInstance) clock() time.Duration { return time.Since(i.clockStart) + time.Hour }
 
+// restart loses all runs and state and starts a new incarnation, whose clock starts anew.
+// Polls that the former incarnation hasn't answered get no answer.
+func (i *fakeInstance) restart() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.restarts++
+	i.incarnation += time.Since(i.clockStart).Milliseconds() + 1
+	i.clockStart, i.leaseUntil, i.fence, i.lastEndNumber = time.Now(), 0, 0, 0
+	i.runs, i.lastRun, i.ended = map[job.TaskID]*fakeRun{}, map[job.TaskID]int{}, nil
+}
+
+// restartCount returns the number of restarts so far.
+func (i *fakeInstance) restartCount() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.restarts
+}
+
 // advance ends the runs whose lease or duration is over.
 func (i *fakeInstance) advance() {
 	for id, r := range i.runs {
@@ -439,7 +463,7 @@
 	i.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() { _ = i.startNow(s) })
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(unansweredTimeout)
 		return instance.ErrUnknown
 	}
 	return i.startNow(s)
@@ -486,8 +510,13 @@
 
 func (i *fakeInstance) poll(ctx context.Context, p instance.Poll) (instance.Listing, error) {
 	deadline := time.Now().Add(p.Wait)
+	restarts := i.restartCount()
 	for {
 		time.Sleep(time.Millisecond)
+		if i.restartCount() != restarts {
+			time.Sleep(time.Until(deadline) + unansweredTimeout)
+			return instance.Listing{}, instance.ErrUnknown
+		}
 		listing, err := i.list(p)
 		if err != nil || len(listing.Ended) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
 			return listing, err
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -27,6 +27,7 @@
 	}
 	u.applyIncarnation(sess, l, now)
 	if !sess.reconciled {
+		sess.onFirstContact()
 		sess.reconciled, sess.reconciledAt = true, now
 		u.planDue = true
 	}
@@ -62,6 +63,9 @@
 	if l.Incarnation == sess.incarnation {
 		return
 	}
+	if sess.incarnation != 0 {
+		sess.onNewIncarnation()
+	}
 	sess.lastApplied, sess.lastRecorded, sess.strays = 0, 0, 0
 	sess.incarnation = l.Incarnation
 	for id, r := range sess.runs {
@@ -207,6 +211,7 @@
 	if r.resolvedAt.IsZero() {
 		r.resolvedAt = now
 	}
+	r.confirmed = r.confirmed || !r.starting
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -18,6 +18,9 @@
 	if e == nil || sess.runs[id] != r {
 		return
 	}
+	if r.confirmed {
+		return // an earlier try was carried out
+	}
 	if r.stopping && tries == 0 {
 		// The job was cancelled while the start was being recorded: it was never
 		// sent.
@@ -33,6 +36,7 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = time.Now()
 	}
+	r.starting = true
 	sess.enqueue(order{
 		carriesLease: true,
 		send: func(ctx context.Context, at instance.Registration, lease time.Duration) error {
@@ -45,6 +49,7 @@
 
 // onStarted handles the result of a start.
 func (u *Unit) onStarted(sess *session, id job.TaskID, r *run, ticket string, tries int, err error) {
+	r.starting = false
 	if sess.runs[id] != r {
 		return
 	}
@@ -175,7 +180,7 @@
 			u.allowances.add(e.job.Submission, step)
 			// The run counts as resolved: the first poll raises the fence, so no start
 			// of a former owner can be carried out after it.
-			sess.addRun(id, &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, stopping: !e.job.Active(), pacePercent: fullPace})
+			sess.addRun(id, &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, confirmed: true, stopping: !e.job.Active(), pacePercent: fullPace})
 		})
 	}
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -96,8 +96,11 @@
 	target atomic.Pointer[instance.Registration]
 	clock  atomic.Pointer[clockReading]
 	// leaseExpiry is when all leases there have expired at the latest, in
-	// nanoseconds of the boot clock.
+	// nanoseconds of the boot clock, if the instance hasn't restarted since it was polled.
 	leaseExpiry atomic.Int64
+	// restartExpiry is the same if it has: an order by the clock of a former incarnation
+	// extends the lease of its successor to the longest that an instance grants.
+	restartExpiry atomic.Int64
 	// extensions counts the orders that extended the lease since the last answer to a poll.
 	extensions atomic.Int64
 	// outOfContact forbids extending the lease: a poll has failed, or the store
@@ -132,7 +135,12 @@
 	noValue bool
 	// resolvedAt is when it became certain that no start order for the run is
 	// still under way; zero before.
-	resolvedAt  time.Time
+	resolvedAt time.Time
+	// confirmed: the instance has listed the run while no start order for it was under way,
+	// so it was started by the incarnation that listed it.
+	confirmed bool
+	// starting: a start order is under way.
+	starting    bool
 	stopping    bool
 	stopSentAt  time.Time
 	startedAt   time.Time
@@ -157,8 +165,9 @@
 	sess.idleSince, sess.knownSince = time.Now(), time.Now()
 	sess.ctx, sess.cancel = context.WithCancel(u.ctx)
 	sess.target.Store(&reg)
-	// A former owner may have extended the lease until the end of its tenure.
-	sess.leaseExpiry.Store(int64(u.takenOverAt + ownership.Grace + u.leaseUpperBound()))
+	// A former owner may have extended the lease until the end of its tenure, by the clock
+	// of a former incarnation.
+	sess.leaseExpiry.Store(int64(u.takenOverAt + ownership.Grace + maxOrderTransit + u.longestLease()))
 	if loss, known := u.contactLosses[reg.ID]; known {
 		sess.applyLoss(loss)
 	}
@@ -292,16 +301,3 @@
 		}
 	}
 }
-
-// expireLeases ends runs without contact once their leases have expired.
-func (u *Unit) expireLeases(now time.Time) {
-	for _, sess := range u.sessions {
-		if len(sess.runs) == 0 || now.Sub(sess.lastContact) < contactTimeout || int64(u.Clock()) < sess.leaseExpiry.Load() {
-			continue
-		}
-		u.Logger.Warn("instance.leases_lapsed", zap.String("instance", sess.reg.ID), zap.Int("runs", len(sess.runs)), zap.Duration("without_contact", sess.silentFor(now)))
-		for id := range sess.runs {
-			u.endRun(sess, id, job.EndLapsed, "", now)
-		}
-	}
-}
