A run answered after its restarted instance was polled is kept

A task could run twice (TWICE) at an instance that has restarted under its ID: where the answer to a start overtook the listing of the new incarnation, the run was taken for lost with the former one, as it isn't in that listing. The rule for listings of the same incarnation, endUnlisted, leaves such a run to the next poll; applyIncarnation lacked it.

TestRunStartedAfterTheListingOfANewIncarnationIsKept failed before (0 != 1 runs kept).

--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -25,7 +25,7 @@
 	if l.Unreadable > 0 {
 		u.Logger.Warn("instance.rows_unreadable", zap.String("instance", sess.reg.ID), zap.Int("rows", l.Unreadable))
 	}
-	u.applyIncarnation(sess, l, now)
+	u.applyIncarnation(sess, l, sent, now)
 	if !sess.reconciled {
 		sess.onFirstContact()
 		sess.reconciled, sess.reconciledAt = true, now
@@ -58,8 +58,9 @@
 // applyIncarnation detects an instance that has restarted: it numbers its ends
 // from 1, and none of the former incarnation's runs exist there. A run that the
 // new incarnation lists is kept although it was placed at the former one: the
-// start arrived after the restart.
-func (u *Unit) applyIncarnation(sess *session, l instance.Listing, now time.Time) {
+// start arrived after the restart. One that was answered after the poll was sent is
+// left to the next poll.
+func (u *Unit) applyIncarnation(sess *session, l instance.Listing, sent, now time.Time) {
 	if l.Incarnation == sess.incarnation {
 		return
 	}
@@ -69,8 +70,10 @@
 	sess.lastApplied, sess.lastRecorded, sess.strays = 0, 0, 0
 	sess.incarnation = l.Incarnation
 	for id, r := range sess.runs {
-		placement := u.placement(id)
-		if placement.Incarnation == l.Incarnation || r.resolvedAt.IsZero() || l.MoreEnds || listsRun(l, id, r.number) {
+		if l.MoreEnds || r.resolvedAt.IsZero() || !r.resolvedAt.Before(sent) {
+			continue
+		}
+		if u.placement(id).Incarnation == l.Incarnation || listsRun(l, id, r.number) {
 			continue
 		}
 		u.Logger.Info("run.lost_with_instance", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID))
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/beryltide/beryltide/internal/instance"
 )
 
 // Guards against a second run of a task whose instance has restarted under its ID: an
@@ -50,3 +52,26 @@
 		})
 	}
 }
+
+// Guards against a second run of a task that a restarted instance has started after it
+// listed its runs: the start was answered before that listing was applied.
+func TestRunStartedAfterTheListingOfANewIncarnationIsKept(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		c.instances["i-0"].duration = time.Hour
+		d := c.startOwner(64)
+		time.Sleep(100 * time.Millisecond)
+		c.submit(jobA, longStep(1))
+		time.Sleep(100 * time.Millisecond)
+		runs := make(chan int)
+		d.unit.post(func() {
+			sess := d.unit.sessions["i-0"]
+			for _, r := range sess.runs {
+				r.resolvedAt = time.Now()
+			}
+			listing := instance.Listing{Incarnation: sess.incarnation + 1}
+			d.unit.onPoll(sess, listing, nil, time.Now().Add(-time.Millisecond))
+			runs <- len(sess.runs)
+		})
+		is.Equal(<-runs, 1)
+	})
+}
