A test that a listed run is not started again

The repeat could start the run at the instance's next incarnation, under a lease that isn't waited out. With the check taken out of sendStart the test fails.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -75,3 +75,24 @@
 		is.Equal(<-runs, 1)
 	})
 }
+
+// Guards against a repeat of a start without an answer that reaches the next incarnation,
+// though the instance has listed the run: its lease there would not be waited out.
+func TestListedRunIsNotStartedAgain(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		c.instances["i-0"].duration = time.Hour
+		d := c.startOwner(64)
+		time.Sleep(100 * time.Millisecond)
+		c.submit(jobA, longStep(1))
+		time.Sleep(2 * time.Second)
+		repeated := make(chan bool, 1)
+		d.unit.post(func() {
+			sess := d.unit.sessions["i-0"]
+			for id, r := range sess.runs {
+				d.unit.sendStart(sess, id, r, "", 1)
+				repeated <- r.starting
+			}
+		})
+		is.Equal(<-repeated, false)
+	})
+}
