The soak restarts an instance and cuts it off while a task runs there

No fault of the soak led to an order by the clock of a former incarnation: a restart reset all connections, so the owner noticed it before its next order, and no task ran longer than a lease. Clocks of restarted instances start lower than those of the former incarnation.

Jobs may take 40 s after the last fault: the longest lease, a tenure and a task of 12 s no longer fit into 25 s.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -44,6 +44,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
+	wg.Go(func() { h.restartAndCut(ctx) })
 	for ctx.Err() == nil {
 		f := h.drawFault(random)
 		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -43,7 +43,9 @@
 	instances   []*instance
 	// instanceProxies holds the proxy in front of each instance.
 	instanceProxies []*proxy
-	cancel          context.CancelFunc
+	// restartCaller submits the jobs of restartAndCut.
+	restartCaller *caller
+	cancel        context.CancelFunc
 }
 
 // newHarness starts a seed's instances and daemons. It calls prepare, if not nil, before
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -13,6 +13,9 @@
 
 const (
 	maxLeaseMS = 10_000
+	// firstClockMS is where the clock of an instance's first incarnation starts, and
+	// restartClockMS how much lower that of the next one does.
+	firstClockMS, restartClockMS = 10_000_000, 60_000
 	// pollInterval is how often run times, leases and pending hold calls are
 	// checked.
 	pollInterval = 5 * time.Millisecond
@@ -61,8 +64,11 @@
 	// startDelay, if not zero, leaves starts unanswered and executes them this much
 	// later.
 	startDelay time.Duration
-	// delayed counts the starts that were left unanswered, restarts the restarts.
-	delayed, restarts int
+	// delayed counts the starts that were left unanswered, restarts the restarts, lapsed
+	// the runs that ended with their lease.
+	delayed, restarts, lapsed int
+	// holds counts the hold calls.
+	holds int
 }
 
 type taskRun struct {
@@ -112,6 +118,8 @@
 	i.restarts++
 }
 
+func (i *instance) rack() string { return "rack-" + i.id }
+
 // entry returns the instance's entry of the registry.
 func (i *instance) entry() []byte {
 	i.mu.Lock()
@@ -121,7 +129,7 @@
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": i.pool, "address": i.address, "zone": "z", "state": state, "labels": []string{i.label, "rack-" + i.id},
+		"service": i.pool, "address": i.address, "zone": "z", "state": state, "labels": []string{i.label, i.rack()},
 		"capacity": map[string]int{"cpu": i.cpu, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
 	})
 	if err != nil {
@@ -139,8 +147,11 @@
 	return used
 }
 
-// clockMS returns the instance's monotonic clock in milliseconds.
-func (i *instance) clockMS() int64 { return time.Since(i.startedAt).Milliseconds() + 1000 }
+// clockMS returns the instance's monotonic clock in milliseconds. That of each incarnation
+// starts lower, as after a long life of the former one.
+func (i *instance) clockMS() int64 {
+	return firstClockMS - int64(i.restarts)*restartClockMS + time.Since(i.startedAt).Milliseconds()
+}
 
 // endDueRuns ends the runs whose lease has expired or whose run time is over. The
 // caller holds i.mu.
@@ -148,6 +159,7 @@
 	for _, r := range i.runs {
 		switch {
 		case i.clockMS() > i.leaseUntil:
+			i.lapsed++
 			i.end(r, job.EndLapsed)
 		case r.step().gang:
 			if how := i.gangs.end(r, i.runTime); how != "" {
@@ -302,6 +314,7 @@
 func (i *instance) hold(w http.ResponseWriter, r *http.Request, o orderBody) {
 	deadline := time.Now().Add(time.Duration(o.Wait) * time.Millisecond)
 	i.mu.Lock()
+	i.holds++
 	startedAt := i.startedAt
 	i.mu.Unlock()
 	for {
--- a/tools/soak/jobs.go
+++ b/tools/soak/jobs.go
@@ -27,7 +27,8 @@
 // jobKind is a kind of job that callers submit.
 type jobKind string
 
-// The kinds. Each seed submits all but large and limit ones.
+// The kinds. Each seed submits all but large and limit ones; pastLease is that of
+// restartAndCut.
 const (
 	plain     jobKind = "plain"
 	manyEnds  jobKind = "many ends"
@@ -39,6 +40,7 @@
 	hopeless  jobKind = "hopeless"
 	large     jobKind = "large"
 	limit     jobKind = "at the limit"
+	pastLease jobKind = "longer than a lease"
 )
 
 // rareKinds are submitted once by one caller, at the beginning, in this order.
@@ -51,6 +53,8 @@
 	gang        bool
 	perInstance int
 	label       string
+	// affinity is the rack of the step's data; empty if it has none.
+	affinity string
 }
 
 // jobPlan is what a caller submits, and how the tasks behave.
@@ -145,6 +149,9 @@
 		if s.label != "" {
 			step["requirements"] = s.label
 		}
+		if s.affinity != "" {
+			step["affinity"] = s.affinity
+		}
 		if p.kind == hopeless {
 			step["est_runtime_ms"] = time.Hour.Milliseconds()
 		}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -24,9 +24,10 @@
 	callerCount = 5
 	// startupTime is how long the daemons get to start before the first call.
 	startupTime = 1500 * time.Millisecond
-	// settleTimeout is how long accepted jobs may take after the last fault: leases
-	// of 6 s, a tenure's grace period of 3 s, and time for the queued jobs.
-	settleTimeout  = 25 * time.Second
+	// settleTimeout is how long accepted jobs may take after the last fault: the longest
+	// lease, a tenure's grace period of 3 s, a task that runs longer than a lease, and
+	// time for the queued jobs.
+	settleTimeout  = 40 * time.Second
 	settleInterval = 200 * time.Millisecond
 	// maxPrintedViolations bounds the broken promises that are printed for a seed.
 	maxPrintedViolations = 20
@@ -202,6 +203,8 @@
 		}
 		wg.Go(func() { c.run(working, first) })
 	}
+	h.restartCaller = newCaller(h, h.seed, callerCount)
+	all = append(all, h.restartCaller)
 	schedule := h.injectFaults(ctx, random)
 	stop()
 	wg.Wait()
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -42,7 +42,8 @@
 	target   string
 	mu       sync.Mutex
 	mode     mode
-	conns    map[net.Conn]bool
+	// conns holds the open connections; those that are stranded have the value false.
+	conns map[net.Conn]bool
 	// affected counts by mode the connections and chunks of data that it concerned.
 	affected map[mode]int
 }
@@ -94,6 +95,24 @@
 	p.mode = m
 }
 
+// strand leaves the data of all open connections without an answer until these are
+// closed. New connections aren't concerned.
+func (p *proxy) strand() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.conns[c] = false
+	}
+}
+
+// stranded reports whether a connection is.
+func (p *proxy) stranded(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	passes, open := p.conns[c]
+	return open && !passes
+}
+
 // unset ends a mode, unless another one has replaced it.
 func (p *proxy) unset(m mode) {
 	if p.currentMode() == m {
@@ -130,6 +149,10 @@
 	go p.forward(server, client, func(m mode) bool { return m == silent }, done)
 	go p.forward(client, server, func(m mode) bool { return m == silent || m == oneWay }, done)
 	<-done
+	// A stranded caller isn't told that the target has closed the connection.
+	for p.stranded(client) && len(done) == 0 {
+		time.Sleep(holdPollInterval)
+	}
 }
 
 // track adds or removes an open connection, for set to close.
@@ -160,7 +183,7 @@
 		if m == slow {
 			time.Sleep(slowDelay)
 		}
-		for held(p.currentMode()) {
+		for held(p.currentMode()) || p.stranded(from) {
 			time.Sleep(holdPollInterval)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
--- /dev/null
+++ b/tools/soak/restarts.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/beryltide/beryltide/internal/pause"
+)
+
+const (
+	// restartCutKind is the kind of the fault of restartAndCut.
+	restartCutKind = "restart and cut"
+	// restartCutAfter leaves the daemons time to take their units.
+	restartCutAfter = 2 * time.Second
+	// pastLeaseTime is longer than an instance works without contact: the longest lease
+	// after a start that was repeated once.
+	pastLeaseTime = maxLeaseMS*time.Millisecond + 2*time.Second
+	// startTimeout is how long a start at a restarted instance is waited for.
+	startTimeout = 1500 * time.Millisecond
+)
+
+// restartAndCut restarts an instance whose connections get no answer any more, lets a
+// task start there before its owner has noticed, and cuts the instance off until the
+// lease of the task is over. The order of the start extends that lease by the clock of
+// the former incarnation.
+func (h *harness) restartAndCut(ctx context.Context) {
+	h.checker.drew(restartCutKind)
+	random := rand.New(rand.NewPCG(h.seed, 2))
+	c := h.restartCaller
+	pause.For(ctx, restartCutAfter)
+	for end := time.Now().Add(2 * effectTimeout); time.Now().Before(end); {
+		n := len(h.instances) - 1 - 2*random.IntN(2)
+		if h.restartAndStart(c, n) {
+			pause.For(context.Background(), time.Duration(random.Int64N(int64(2*time.Second))))
+			h.instanceProxies[n].set(silent)
+			lapsed := h.lapseWithoutContact(n)
+			h.instanceProxies[n].unset(silent)
+			if lapsed {
+				h.checker.tookEffect(restartCutKind)
+				return
+			}
+		}
+	}
+}
+
+// restartAndStart restarts an instance and submits a job whose data are there. It reports
+// whether a task of the job has started there.
+func (h *harness) restartAndStart(c *caller, n int) bool {
+	i := h.instances[n]
+	kind := 0
+	if i.cpuNow() != kindCPUs[0] {
+		kind = 1
+	}
+	// A poll that has just arrived is waited for longest.
+	holds := i.holdCount()
+	for end := time.Now().Add(startTimeout); i.holdCount() == holds && time.Now().Before(end); time.Sleep(pollInterval) {
+	}
+	h.instanceProxies[n].strand()
+	i.restart(kind)
+	p := &jobPlan{id: fmt.Sprintf("%08x%08x", c.name+1, len(c.jobs)), kind: pastLease, queue: h.operator.queues[1], runTime: pastLeaseTime}
+	p.payload = fmt.Sprint("payload of ", p.id)
+	p.steps = []stepPlan{{count: 1, cpu: smallCPU, affinity: i.rack()}}
+	c.jobs = append(c.jobs, p)
+	h.checker.submitted(p)
+	status, _ := c.callAny(http.MethodPost, p, p.body())
+	h.checker.answered(p.id, status == http.StatusOK, status == http.StatusServiceUnavailable || status == http.StatusNotFound)
+	started := false
+	for end := time.Now().Add(startTimeout); status == http.StatusOK && !started && time.Now().Before(end); time.Sleep(pollInterval) {
+		started = i.runsJob(p.id)
+	}
+	h.list(i)
+	return started
+}
+
+// lapseWithoutContact waits until no task longer than a lease runs at an instance, and
+// reports whether one ended by its lease.
+func (h *harness) lapseWithoutContact(n int) bool {
+	i := h.instances[n]
+	lapsed := i.lapses()
+	for end := time.Now().Add(pastLeaseTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		if i.lapses() > lapsed {
+			return true
+		}
+	}
+	return false
+}
+
+// cpuNow returns the CPU of the current incarnation's kind.
+func (i *instance) cpuNow() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cpu
+}
+
+// runsJob reports whether a task of a job runs there.
+func (i *instance) runsJob(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for task := range i.runs {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *instance) holdCount() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.holds
+}
+
+// lapses returns how many runs have ended with their lease.
+func (i *instance) lapses() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.lapsed
+}
