--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -223,13 +223,12 @@
 	return u.lookUpStandings(ctx, q)
 }
 
-func (u *Unit) lookUpStandings(ctx context.Context, q StandingQuery) (found map[string]Standing, err error) {
-	found = map[string]Standing{}
-	callErr := u.do(ctx, func() {
+func (u *Unit) lookUpStandings(ctx context.Context, q StandingQuery) (map[string]Standing, error) {
+	return ask(ctx, u, func() (map[string]Standing, error) {
 		if !u.holds() || !u.loaded {
-			err = ErrNotReady
-			return
+			return nil, ErrNotReady
 		}
+		found := map[string]Standing{}
 		for _, id := range q.IDs {
 			e := u.jobs[id]
 			_, unreadable := u.unreadable[id]
@@ -240,9 +239,6 @@
 				found[id] = Pending
 			}
 		}
+		return found, nil
 	})
-	if callErr != nil {
-		return nil, callErr
-	}
-	return found, err
 }
--- a/internal/owner/catchup.go
+++ b/internal/owner/catchup.go
@@ -62,8 +62,8 @@
 // mergeToEnd merges the records from the merged offset to the end that the
 // partition had at the first read.
 func (u *Unit) mergeToEnd() error {
-	var from int64
-	if err := u.do(u.ctx, func() { from = u.mergedOffset }); err != nil {
+	from, err := ask(u.ctx, u, func() (int64, error) { return u.mergedOffset, nil })
+	if err != nil {
 		return err
 	}
 	target := int64(-1)
--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -31,25 +31,22 @@
 // Release cordons instances, moves their long-running tasks as far as the
 // steps' MayMiss allows, and returns the instances that are empty. It returns
 // ErrNotReady if the unit can't answer or another daemon may own it.
-func (u *Unit) Release(ctx context.Context, ids []string) (empty []string, err error) {
-	callErr := u.do(ctx, func() {
+func (u *Unit) Release(ctx context.Context, ids []string) ([]string, error) {
+	return ask(ctx, u, func() ([]string, error) {
 		// Two owners would each stop as many long-running tasks as a step may miss.
 		if !u.holds() || !u.loaded || !u.Sole(u.tenure) {
-			err = ErrNotReady
-			return
+			return nil, ErrNotReady
 		}
 		now := time.Now()
+		var empty []string
 		for _, id := range ids {
 			// An instance without a session has no known runs.
 			if sess := u.sessions[id]; sess == nil || u.release(sess, now) {
 				empty = append(empty, id)
 			}
 		}
+		return empty, nil
 	})
-	if callErr != nil {
-		return nil, callErr
-	}
-	return empty, err
 }
 
 func (u *Unit) release(sess *session, now time.Time) bool {
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -11,18 +11,13 @@
 
 // Demand returns a pool's waiting work, its capacity and the state of its
 // instances.
-func (u *Unit) Demand(ctx context.Context, pool string) (d rebalance.Demand, err error) {
-	callErr := u.do(ctx, func() {
+func (u *Unit) Demand(ctx context.Context, pool string) (rebalance.Demand, error) {
+	return ask(ctx, u, func() (rebalance.Demand, error) {
 		if !u.holds() || !u.loaded {
-			err = ErrNotReady
-			return
+			return rebalance.Demand{}, ErrNotReady
 		}
-		d = u.demand(pool, time.Now())
+		return u.demand(pool, time.Now()), nil
 	})
-	if callErr != nil {
-		return rebalance.Demand{}, callErr
-	}
-	return d, err
 }
 
 func (u *Unit) demand(pool string, now time.Time) rebalance.Demand {
--- a/internal/owner/outlook.go
+++ b/internal/owner/outlook.go
@@ -74,26 +74,26 @@
 
 // Stored reports which submissions may be stored: those that the unit has read, as of a
 // read to its end, and those of queues of which other units may have jobs.
-func (u *Unit) Stored(ctx context.Context, submissions []Submission) (stored []bool, err error) {
+func (u *Unit) Stored(ctx context.Context, submissions []Submission) ([]bool, error) {
 	if err := u.readToEnd(ctx); err != nil {
 		return nil, ErrNotReady
 	}
-	stored = make([]bool, len(submissions))
-	callErr := u.do(ctx, func() {
+	return u.lookUpStored(ctx, submissions)
+}
+
+func (u *Unit) lookUpStored(ctx context.Context, submissions []Submission) ([]bool, error) {
+	return ask(ctx, u, func() ([]bool, error) {
 		if !u.holds() || !u.loaded {
-			err = ErrNotReady
-			return
+			return nil, ErrNotReady
 		}
+		stored := make([]bool, len(submissions))
 		for n, s := range submissions {
 			units := u.QueueUnits.Units(s.Route)
 			_, unreadable := u.unreadable[s.ID]
 			stored[n] = u.jobs[s.ID] != nil || unreadable || u.earlyCancels[s.ID] || len(units) != 1 || units[0] != u.tenure.Unit
 		}
+		return stored, nil
 	})
-	if callErr != nil {
-		return nil, callErr
-	}
-	return stored, err
 }
 
 // updateOutlooks computes the outlooks of the pools with waiting work.
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -17,27 +17,42 @@
 // its end.
 var ErrNoJob = errors.New("no such job")
 
-// do runs a query on the unit's goroutine and waits for it. It returns
-// ErrNotReady if the context or the unit ends first.
-func (u *Unit) do(ctx context.Context, query func()) error {
-	done := make(chan struct{})
+// ask runs a query on the unit's goroutine and returns its result. It returns ErrNotReady
+// if the context or the unit ends first. The query may still run then, so it must not
+// write to variables of its caller.
+func ask[T any](ctx context.Context, u *Unit, query func() (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	var none T
+	results := make(chan result, 1)
 	select {
-	case u.events <- func() { query(); close(done) }:
+	case u.events <- func() { value, err := query(); results <- result{value, err} }:
 	case <-ctx.Done():
-		return ErrNotReady
+		return none, ErrNotReady
 	case <-u.ctx.Done():
-		return ErrNotReady
+		return none, ErrNotReady
 	}
 	select {
-	case <-done:
-		return nil
+	case r := <-results:
+		return r.value, r.err
 	case <-ctx.Done():
-		return ErrNotReady
+		return none, ErrNotReady
 	case <-u.ctx.Done():
-		return ErrNotReady
+		return none, ErrNotReady
 	}
 }
 
+// do runs an event on the unit's goroutine and waits for it, as ask does.
+func (u *Unit) do(ctx context.Context, event func()) error {
+	_, err := ask(ctx, u, func() (struct{}, error) {
+		event()
+		return struct{}{}, nil
+	})
+	return err
+}
+
 // Status is what a unit knows of a job.
 type Status struct {
 	// State is the recorded state, Queue the queue's name when the job was accepted.
@@ -70,49 +85,43 @@
 }
 
 // lookUp returns a job's status from the records merged so far.
-func (u *Unit) lookUp(ctx context.Context, id, route string) (status Status, err error) {
-	callErr := u.do(ctx, func() {
+func (u *Unit) lookUp(ctx context.Context, id, route string) (Status, error) {
+	return ask(ctx, u, func() (Status, error) {
 		if !u.holds() || !u.loaded {
-			err = ErrNotReady
-			return
+			return Status{}, ErrNotReady
 		}
 		if e := u.jobs[id]; e != nil && (route == "" || e.job.Submission.QueueRoute() == route) {
-			status = Status{State: e.recordedState, Queue: e.job.Submission.Queue}
-			return
+			return Status{State: e.recordedState, Queue: e.job.Submission.Queue}, nil
 		}
 		if _, unreadable := u.unreadable[id]; unreadable {
-			err = ErrNotReady
-			return
+			return Status{}, ErrNotReady
 		}
-		err = ErrNoJob
+		return Status{}, ErrNoJob
 	})
-	if callErr != nil {
-		return Status{}, callErr
-	}
-	return status, err
 }
 
 // Waiting returns how many of the accepted jobs of the queue with the given name or
 // route have no recorded start, and the other units that may have such jobs.
 func (u *Unit) Waiting(ctx context.Context, queue, route string) (waiting int, others []int, err error) {
-	callErr := u.do(ctx, func() {
+	waiting, err = ask(ctx, u, func() (int, error) {
 		if !u.holds() {
-			err = ErrNotReady
-			return
+			return 0, ErrNotReady
 		}
+		count := 0
 		for _, e := range u.active {
 			sub := e.job.Submission
 			if (sub.QueueRoute() == route || sub.Queue == queue) && !e.startRecorded && e.job.Active() {
-				waiting++
+				count++
 			}
 		}
+		return count, nil
 	})
-	if callErr != nil {
-		return 0, nil, callErr
+	if err != nil {
+		return 0, nil, err
 	}
 	// While the store doesn't answer, the units known so far are the best answer.
 	if unread := u.learnOthers(ctx, route, u.Clock()-queueUnitsAge); unread != nil {
 		u.Logger.Debug("queue.units_unread", zap.Error(unread))
 	}
-	return waiting, u.others(route), err
+	return waiting, u.others(route), nil
 }
--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -100,19 +100,18 @@
 // an order of an earlier leader, for one that isn't newer than the last one, and
 // if the unit can't answer.
 func (u *Unit) Grant(ctx context.Context, o GrantOrder) (uses map[string]quota.Use, epoch int64, err error) {
-	callErr := u.do(ctx, func() {
+	uses, err = ask(ctx, u, func() (map[string]quota.Use, error) {
 		a := &u.allowances
 		if !u.holds() || !u.loaded || o.Lead < a.leader || o.Lead == a.leader && o.Number <= a.lastNumber[o.Pool] {
-			err = ErrNotReady
-			return
+			return nil, ErrNotReady
 		}
 		u.setGrants(o)
-		uses = u.uses(o.Pool)
+		return u.uses(o.Pool), nil
 	})
-	if callErr != nil {
-		return nil, 0, callErr
+	if err != nil {
+		return nil, 0, err
 	}
-	return uses, u.tenure.Epoch, err
+	return uses, u.tenure.Epoch, nil
 }
 
 func (u *Unit) setGrants(o GrantOrder) {
