The soak's instances end their connections with each incarnation

TestLargeBodies takes its crowd and memory from flags for trials by hand; the defaults are as before.

--- a/tools/callerload/callers_test.go
+++ b/tools/callerload/callers_test.go
@@ -1,6 +1,7 @@
 package callerload
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -108,6 +109,13 @@
 
 func oneKey(int) string { return key(0) }
 
+// The crowd of TestLargeBodies and the memory of its daemon. Trials by hand set others, as
+// in `go test ./tools/callerload -run TestLargeBodies -args -callers 10000 -memory 184`.
+var (
+	largeCallers = flag.Int("callers", 600, "callers of TestLargeBodies")
+	largeMemory  = flag.Int("memory", 96, "memory_mb of the daemon of TestLargeBodies")
+)
+
 // The process must stay within its memory however many callers hold large bodies open:
 // bodies had neither a common limit nor a deadline, and 1,200 callers took a daemon of
 // 284 MiB to 463 MiB.
@@ -130,8 +138,8 @@
 		{"at an open queue", publicPath, nil, bodyBytes, whole, 4100},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := startDaemon(t, 96, c.descriptors)
-			d.load(600, submitLarge(c.path, c.key, c.size, c.send))
+			d := startDaemon(t, *largeMemory, c.descriptors)
+			d.load(*largeCallers, submitLarge(c.path, c.key, c.size, c.send))
 			d.check()
 		})
 	}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -25,6 +25,10 @@
 // concerns it.
 const drainingInstance = 0
 
+// restartCutInstance is the index of the instance of restartAndCut; no other fault
+// concerns it.
+const restartCutInstance = 5
+
 // drainAfter is when it begins to drain.
 const drainAfter = time.Second
 
@@ -100,7 +104,7 @@
 			i.mu.Lock()
 			runs := len(i.runs)
 			i.mu.Unlock()
-			if runs <= endsPerListing {
+			if n == restartCutInstance || runs <= endsPerListing {
 				continue
 			}
 			h.instanceProxies[n].set(silent)
@@ -121,7 +125,10 @@
 // drawFault draws a fault. The order and number of the draws fix a seed's schedule.
 func (h *harness) drawFault(random *rand.Rand) fault {
 	d := h.daemons[random.IntN(len(h.daemons))]
-	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-1)
+	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-2)
+	if n >= restartCutInstance {
+		n++
+	}
 	modes := []mode{slow, silent, oneWay, reset}
 	m := modes[random.IntN(len(modes))]
 	lost := random.Uint64()
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -85,13 +85,14 @@
 }
 
 // serveLocal serves a handler at a free loopback port until the program ends, and
-// returns its address.
-func serveLocal(h http.Handler) (string, error) {
+// returns its address. connContext, if not nil, sets the context of each connection.
+func serveLocal(h http.Handler, connContext func(context.Context, net.Conn) context.Context) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
-	go func() { _ = http.Serve(l, h) }() // ends with the program
+	s := &http.Server{Handler: h, ConnContext: connContext}
+	go func() { _ = s.Serve(l) }() // ends with the program
 	return l.Addr().String(), nil
 }
 
@@ -99,7 +100,7 @@
 func (h *harness) addInstance(n int, all *gangs, runTime time.Duration) error {
 	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], runTime: runTime}
 	i.restart(n / 2 % len(kindCPUs))
-	address, err := serveLocal(i.handler())
+	address, err := serveLocal(i.handler(), i.connContext)
 	if err != nil {
 		return err
 	}
@@ -174,7 +175,7 @@
 // store.
 func (h *harness) addDaemon(n int) error {
 	p := &process{checker: h.checker, storeClient: h.store.Client()}
-	address, err := serveLocal((&storeserver.Server{Client: p.storeClient, Silent: h.storeSilent}).Handler())
+	address, err := serveLocal((&storeserver.Server{Client: p.storeClient, Silent: h.storeSilent}).Handler(), nil)
 	if err != nil {
 		return err
 	}
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -192,6 +194,8 @@
 	Fence    int64  `json:"fencing_token"`
 	Cursor   int64  `json:"ack_cursor"`
 	Wait     int64  `json:"wait_ms"`
+	// calls is the start of the incarnation to which the call's connection was opened.
+	calls time.Time
 }
 
 func (i *instance) handler() http.Handler {
@@ -202,6 +206,16 @@
 	return mux
 }
 
+// incarnationKey is the key of a connection's context value: the start of the
+// incarnation to which it was opened.
+type incarnationKey struct{}
+
+func (i *instance) connContext(ctx context.Context, _ net.Conn) context.Context {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return context.WithValue(ctx, incarnationKey{}, i.startedAt)
+}
+
 // orderHandler decodes a call and rejects one that is meant for another instance.
 func (i *instance) orderHandler(do func(w http.ResponseWriter, r *http.Request, o orderBody)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -214,6 +228,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		o.calls, _ = r.Context().Value(incarnationKey{}).(time.Time)
 		do(w, r, o)
 	}
 }
@@ -237,38 +252,38 @@
 
 func (i *instance) start(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	i.mu.Lock()
-	delay, startedAt := i.startDelay, i.startedAt
+	delay := i.startDelay
 	if delay > 0 {
 		i.delayed++
 	}
 	i.mu.Unlock()
 	if delay > 0 {
-		time.AfterFunc(delay, func() { i.startUnlessRestarted(startedAt, o) })
+		time.AfterFunc(delay, func() { i.startTask(o) })
 		panic(http.ErrAbortHandler)
 	}
-	if reason := i.startTask(o); reason != "" {
+	switch reason := i.startTask(o); reason {
+	case "":
+	case restartedReason:
+		panic(http.ErrAbortHandler)
+	default:
 		i.refuse(w, reason)
 		return
 	}
 	storeserver.WriteJSON(w, map[string]any{"clock_ms": i.clockMS()})
 }
 
-// startUnlessRestarted executes a delayed start unless the instance has restarted
-// since it arrived.
-func (i *instance) startUnlessRestarted(startedAt time.Time, o orderBody) {
-	i.mu.Lock()
-	same := i.startedAt.Equal(startedAt)
-	i.mu.Unlock()
-	if same {
-		i.startTask(o)
-	}
-}
+// restartedReason is the reason for which startTask refuses a start that a former
+// incarnation has taken.
+const restartedReason = "restarted"
 
 // startTask starts a run, or returns the reason for which it is refused. A repeated
 // start of the same run has no effect.
 func (i *instance) startTask(o orderBody) string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if !i.startedAt.Equal(o.calls) {
+		return restartedReason
+	}
 	id, err := platform.ParseTaskName(o.Task)
 	plan := i.checker.plan(id.Job)
 	switch {
@@ -297,6 +312,9 @@
 func (i *instance) stop(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if !i.startedAt.Equal(o.calls) {
+		panic(http.ErrAbortHandler)
+	}
 	id, err := platform.ParseTaskName(o.Task)
 	if err != nil || !i.admit(o) {
 		i.refuse(w, "fence")
@@ -315,11 +333,10 @@
 	deadline := time.Now().Add(time.Duration(o.Wait) * time.Millisecond)
 	i.mu.Lock()
 	i.holds++
-	startedAt := i.startedAt
 	i.mu.Unlock()
 	for {
 		i.mu.Lock()
-		if i.startedAt != startedAt {
+		if !i.startedAt.Equal(o.calls) {
 			// The incarnation that received the call has ended, and its connections
 			// with it.
 			i.mu.Unlock()
--- a/tools/soak/restarts.go
+++ b/tools/soak/restarts.go
@@ -32,12 +32,11 @@
 	c := h.restartCaller
 	pause.For(ctx, restartCutAfter)
 	for end := time.Now().Add(2 * effectTimeout); time.Now().Before(end); {
-		n := len(h.instances) - 1 - 2*random.IntN(2)
-		if h.restartAndStart(c, n) {
+		if h.restartAndStart(c) {
 			pause.For(context.Background(), time.Duration(random.Int64N(int64(2*time.Second))))
-			h.instanceProxies[n].set(silent)
-			lapsed := h.lapseWithoutContact(n)
-			h.instanceProxies[n].unset(silent)
+			h.instanceProxies[restartCutInstance].set(silent)
+			lapsed := h.lapseWithoutContact()
+			h.instanceProxies[restartCutInstance].unset(silent)
 			if lapsed {
 				h.checker.tookEffect(restartCutKind)
 				return
@@ -46,20 +45,16 @@
 	}
 }
 
-// restartAndStart restarts an instance and submits a job whose data are there. It reports
+// restartAndStart restarts the instance and submits a job whose data are there. It reports
 // whether a task of the job has started there.
-func (h *harness) restartAndStart(c *caller, n int) bool {
-	i := h.instances[n]
-	kind := 0
-	if i.cpuNow() != kindCPUs[0] {
-		kind = 1
-	}
+func (h *harness) restartAndStart(c *caller) bool {
+	i := h.instances[restartCutInstance]
 	// A poll that has just arrived is waited for longest.
 	holds := i.holdCount()
 	for end := time.Now().Add(startTimeout); i.holdCount() == holds && time.Now().Before(end); time.Sleep(pollInterval) {
 	}
-	h.instanceProxies[n].strand()
-	i.restart(kind)
+	h.instanceProxies[restartCutInstance].strand()
+	i.restart(restartCutInstance / 2 % len(kindCPUs)) // its own kind
 	p := &jobPlan{id: fmt.Sprintf("%08x%08x", c.name+1, len(c.jobs)), kind: pastLease, queue: h.operator.queues[1], runTime: pastLeaseTime}
 	p.payload = fmt.Sprint("payload of ", p.id)
 	p.steps = []stepPlan{{count: 1, cpu: smallCPU, affinity: i.rack()}}
@@ -75,10 +70,10 @@
 	return started
 }
 
-// lapseWithoutContact waits until no task longer than a lease runs at an instance, and
-// reports whether one ended by its lease.
-func (h *harness) lapseWithoutContact(n int) bool {
-	i := h.instances[n]
+// lapseWithoutContact waits for a run at the instance to end with its lease, and reports
+// whether one did.
+func (h *harness) lapseWithoutContact() bool {
+	i := h.instances[restartCutInstance]
 	lapsed := i.lapses()
 	for end := time.Now().Add(pastLeaseTime); time.Now().Before(end); time.Sleep(pollInterval) {
 		if i.lapses() > lapsed {
@@ -88,13 +83,6 @@
 	return false
 }
 
-// cpuNow returns the CPU of the current incarnation's kind.
-func (i *instance) cpuNow() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.cpu
-}
-
 // runsJob reports whether a task of a job runs there.
 func (i *instance) runsJob(id string) bool {
 	i.mu.Lock()
