A copy of a job that is held back doesn't answer for the job

The unit names the other units for a copy that is held back, and these are asked first; if one doesn't answer, the state isn't known (503), as for a job that the unit doesn't have.

TestJobsAreFoundAfterTheirQueueHasMoved failed before at its new check.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -129,19 +129,22 @@
 func (s *Service) find(ctx context.Context, q *catalog.Queue, id string) (job.State, int, error) {
 	unit := s.UnitOf(q.Pool)
 	reply, err := s.job(ctx, ownerrpc.JobRequest{Unit: unit, Route: q.Route(), ID: id})
-	if !errors.Is(err, ErrNoJob) {
-		return reply.State, unit, err
+	if err != nil && !errors.Is(err, ErrNoJob) {
+		return "", unit, err
 	}
 	for _, other := range reply.Others {
-		reply, otherErr := s.job(ctx, ownerrpc.JobRequest{Unit: other, Route: q.Route(), ID: id})
+		otherReply, otherErr := s.job(ctx, ownerrpc.JobRequest{Unit: other, Route: q.Route(), ID: id})
 		if otherErr == nil {
-			return reply.State, other, nil
+			return otherReply.State, other, nil
 		}
 		if !errors.Is(otherErr, ErrNoJob) {
 			err = otherErr
 		}
 	}
-	return "", unit, err
+	if err != nil {
+		return "", unit, err
+	}
+	return reply.State, unit, nil
 }
 
 // job asks a unit's owner for a job.
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -98,5 +98,13 @@
 		units[1].Stop()
 		_, err = service.State(ctx, moved, "00000000000000ff")
 		is.True(errors.Is(err, ErrUnavailable)) // the former unit might have it
+
+		// Submitted again, the job is stored in the next unit too. Its state isn't that of
+		// the copy, which would be queued, but that of the job in the former unit.
+		sub.Queue, sub.Pool, sub.Route = moved.Name, moved.Pool, moved.Route()
+		is.NoErr(service.Submit(ctx, sub))
+		time.Sleep(time.Second)
+		_, err = service.State(ctx, moved, sub.ID)
+		is.True(errors.Is(err, ErrUnavailable))
 	})
 }
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -58,7 +58,8 @@
 	// State is the recorded state, Queue the queue's name when the job was accepted.
 	State job.State
 	Queue string
-	// Others are the other units that may have the job, if this one doesn't.
+	// Others are the other units that may have the job, if this one doesn't have it or
+	// holds it back until they have been asked.
 	Others []int
 }
 
@@ -91,7 +92,11 @@
 			return Status{}, ErrNotReady
 		}
 		if e := u.jobs[id]; e != nil && (route == "" || e.job.Submission.QueueRoute() == route) {
-			return Status{State: e.recordedState, Queue: e.job.Submission.Queue}, nil
+			status := Status{State: e.recordedState, Queue: e.job.Submission.Queue}
+			if e.unadmitted {
+				status.Others = u.others(e.job.Submission.QueueRoute())
+			}
+			return status, nil
 		}
 		if _, unreadable := u.unreadable[id]; unreadable {
 			return Status{}, ErrNotReady
