--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -217,9 +217,13 @@
 	}
 	return fault{
 		kind: what + " " + m.String(), name: whose + " " + what + " " + m.String(),
-		begin:  func() { before = affected(); each((*proxy).set) },
-		effect: func() bool { return affected() > before },
-		end:    func() { each((*proxy).unset) },
+		begin: func() { before = affected(); each((*proxy).set) },
+		effect: func() bool {
+			// Another fault of the link may have ended this one.
+			each((*proxy).setIfPassing)
+			return affected() > before
+		},
+		end: func() { each((*proxy).unset) },
 	}
 }
 
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -113,6 +113,13 @@
 	return open && !passes
 }
 
+// setIfPassing sets a mode unless another one is set.
+func (p *proxy) setIfPassing(m mode) {
+	if p.currentMode() == pass {
+		p.set(m)
+	}
+}
+
 // unset ends a mode, unless another one has replaced it.
 func (p *proxy) unset(m mode) {
 	if p.currentMode() == m {
