--- a/tools/callerload/daemon_test.go
+++ b/tools/callerload/daemon_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,9 +121,14 @@
 	}
 }
 
+// listenerCount counts the addresses that freeAddress has returned.
+var listenerCount atomic.Int64
+
+// freeAddress returns a free port of a loopback address of its own: on a common one
+// another listener or a connection may take the port before the daemon listens there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", 1+listenerCount.Add(1)%250))
 	must(t, err)
 	defer l.Close()
 	return l.Addr().String()
