Logs and counts tell apart what acts across incarnations

The hypotheses on two runs of one task differ in what reached an incarnation that it wasn't meant for. instance.restarted shows leases (extensions) and now also the acknowledgement of the poll that found the restart; run.misdirected and the metric misdirected_runs show a run that started at another incarnation than recorded.

--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -214,6 +214,9 @@
 	if r.resolvedAt.IsZero() {
 		r.resolvedAt = now
 	}
+	if r.percentAt.IsZero() {
+		u.checkIncarnation(sess, t, r)
+	}
 	r.confirmed = r.confirmed || !r.starting
 	if r.startedAt.IsZero() {
 		r.startedAt = now
@@ -227,6 +230,18 @@
 	u.stopHung(sess, t.Task, r, now)
 }
 
+// checkIncarnation reports a run that another incarnation lists than the one for which
+// its start was recorded.
+func (u *Unit) checkIncarnation(sess *session, t instance.RunningTask, r *run) {
+	recorded := u.placement(t.Task).Incarnation
+	if recorded == sess.incarnation {
+		return
+	}
+	u.Meter.misdirected.Inc(1)
+	u.Logger.Warn("run.misdirected", zap.String("job", t.Task.Job), zap.Int("step", t.Task.Step), zap.Int("index", t.Task.Index), zap.Int("run", r.number),
+		zap.String("instance", sess.reg.ID), zap.Int64("recorded", recorded), zap.Int64("incarnation", sess.incarnation))
+}
+
 // Limits for hung tasks and for instances with failures.
 const (
 	// hungMinTime is the shortest time without progress after which a task counts
--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -19,7 +19,9 @@
 	pollFailed tally.Counter
 	// restarts counts instances that were found restarted under their ID.
 	restarts tally.Counter
-	scope    tally.Scope
+	// misdirected counts runs at another incarnation than their start was meant for.
+	misdirected tally.Counter
+	scope       tally.Scope
 }
 
 // poolGauges are a unit's gauges of one of its pools.
@@ -67,9 +69,10 @@
 		ends:      map[job.End]tally.Counter{},
 		states:    map[job.State]tally.Counter{},
 
-		pollFailed: scope.Counter("looks_failed"),
-		restarts:   scope.Counter("instance_restarts"),
-		scope:      scope,
+		pollFailed:  scope.Counter("looks_failed"),
+		restarts:    scope.Counter("instance_restarts"),
+		misdirected: scope.Counter("misdirected_runs"),
+		scope:       scope,
 	}
 	for _, how := range []job.End{job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken, job.EndAlone, job.EndLost} {
 		m.ends[how] = scope.Tagged(map[string]string{"how": string(how)}).Counter("runs_ended")
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -72,7 +72,7 @@
 		if s.polledIncarnation != 0 {
 			s.unit.Meter.restarts.Inc(1)
 			s.unit.Logger.Info("instance.restarted", zap.String("instance", s.target.Load().ID), zap.Int64("former", s.polledIncarnation),
-				zap.Int64("incarnation", incarnation), zap.Int64("extensions", extended), zap.Duration("without_answer", time.Since(s.answeredAt)))
+				zap.Int64("incarnation", incarnation), zap.Int64("extensions", extended), zap.Int64("acknowledged", acknowledged), zap.Duration("without_answer", time.Since(s.answeredAt)))
 		}
 		s.polledIncarnation, s.lastAcknowledged = incarnation, 0
 	} else {
