--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -30,9 +30,11 @@
 
 // Start orders a run.
 type Start struct {
-	Task    job.TaskID
-	Run     int
-	Payload string
+	// Incarnation is the one that the order is meant for; 0 means any.
+	Incarnation int64
+	Task        job.TaskID
+	Run         int
+	Payload     string
 	// Checkpoint is from where the run resumes; empty for a run from the start.
 	Checkpoint string
 	// Ticket is the advisor's ticket; empty if the queue needs none.
@@ -46,22 +48,29 @@
 
 // Stop orders the end of a run.
 type Stop struct {
-	Task  job.TaskID
-	Run   int
-	Fence int64
+	// Incarnation is the one that the order is meant for; 0 means any.
+	Incarnation int64
+	Task        job.TaskID
+	Run         int
+	Fence       int64
 }
 
 // Pace limits a backfill task to a percentage of its CPU.
 type Pace struct {
-	Task    job.TaskID
-	Run     int
-	Percent int
-	Fence   int64
+	// Incarnation is the one that the order is meant for; 0 means any.
+	Incarnation int64
+	Task        job.TaskID
+	Run         int
+	Percent     int
+	Fence       int64
 }
 
 // Poll renews the lease, acknowledges ends and lists the runs.
 type Poll struct {
-	Fence int64
+	// Incarnation is the one that the poll is meant for; 0 means any. If another one
+	// answers, its listing is returned at once, and nothing is renewed or acknowledged.
+	Incarnation int64
+	Fence       int64
 	// Acknowledged is the number of the last end that has been recorded.
 	Acknowledged int64
 	// Lease is the time on the instance's clock at which the lease of all its runs
@@ -110,8 +119,9 @@
 }
 
 // Client sends orders and polls to instances. Calls go to the address of one
-// registration and are refused by any other instance there. They return one of the
-// errors below, possibly wrapped.
+// registration and are refused by any other instance there. An order that names an
+// incarnation is not sent to any other one, however long it is on its way. Calls return
+// one of the errors below, possibly wrapped.
 type Client interface {
 	Start(ctx context.Context, at Registration, s Start) error
 	Stop(ctx context.Context, at Registration, s Stop) error
@@ -135,6 +145,8 @@
 	ErrRefused = errors.New("the instance refused the order")
 	// ErrGone means that another instance answers at the address.
 	ErrGone = errors.New("another instance answers at the address")
+	// ErrRestarted means that the order wasn't sent, since the instance has restarted.
+	ErrRestarted = errors.New("another incarnation of the instance answers")
 	// ErrUnsent means that the order wasn't sent.
 	ErrUnsent = errors.New("the order was not sent")
 	// ErrUnknown means that the order may have been, or may still be, executed.
