Tests of orders that reach another incarnation than they are meant for

Orders name an instance by its ID, so an instance that has restarted takes those that are meant for its former incarnation. The four tests show what callers see of it beside the leases of: a task that was done runs again, two runs of one task at once, and a run of a cancelled job.

The harness holds orders on their way for no longer than the client allows: a connection is opened within 400 ms and the order is given up 500 ms later. A connection leads to the incarnation that is there when it is opened, and ends with it. The fake client heeds the incarnation that an order names when the order arrives. Start, Stop, Pace and Poll of the fake client move to transit_test.go unchanged but for that.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -96,6 +96,7 @@
 	// adviceQueries counts the instances named in requests for advice.
 	adviceQueries int
 	pacePercents  []int
+	transit       transit
 }
 
 // startOwner starts an owner of testUnit with an epoch.
@@ -285,26 +286,6 @@
 	unansweredTimeout = 500 * time.Millisecond
 )
 
-func (d *daemon) Start(_ context.Context, at instance.Registration, s instance.Start) error {
-	i := d.reachable(at.ID)
-	if i == nil {
-		time.Sleep(unreachableTimeout)
-		return instance.ErrUnsent
-	}
-	time.Sleep(time.Millisecond)
-	return i.start(s)
-}
-
-func (d *daemon) Stop(_ context.Context, at instance.Registration, s instance.Stop) error {
-	i := d.reachable(at.ID)
-	if i == nil {
-		time.Sleep(unreachableTimeout)
-		return instance.ErrUnsent
-	}
-	time.Sleep(time.Millisecond)
-	return i.stop(s)
-}
-
 // Standings asks the owner of a unit, unless that unit is unreachable.
 func (d *daemon) Standings(ctx context.Context, unit int, q StandingQuery) (map[string]Standing, error) {
 	d.mu.Lock()
@@ -329,13 +310,6 @@
 	return Advice{Tickets: map[string]string{"i-0": "t"}, Valid: 3 * time.Second}, nil
 }
 
-func (d *daemon) Pace(_ context.Context, _ instance.Registration, p instance.Pace) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.pacePercents = append(d.pacePercents, p.Percent)
-	return nil
-}
-
 // paceOrders returns the percentages of the pace orders so far.
 func (d *daemon) paceOrders() []int {
 	d.mu.Lock()
@@ -343,15 +317,6 @@
 	return append([]int(nil), d.pacePercents...)
 }
 
-func (d *daemon) Poll(ctx context.Context, at instance.Registration, p instance.Poll) (instance.Listing, error) {
-	i := d.reachable(at.ID)
-	if i == nil {
-		time.Sleep(unreachableTimeout)
-		return instance.Listing{}, instance.ErrUnsent
-	}
-	return i.poll(ctx, p)
-}
-
 // fakeInstance runs tasks as the platform's documentation describes: with a
 // fence, a lease and run numbers, and with ends that are listed until they are
 // acknowledged.
@@ -385,6 +350,9 @@
 	done map[job.TaskID]int
 	// restarts counts the calls of restart.
 	restarts int
+	// closesConnections: a restart is noticed at once by polls that wait for an answer.
+	// Otherwise they get none.
+	closesConnections bool
 }
 
 type fakeRun struct {
@@ -419,7 +387,6 @@
 func (i *fakeInstance) clock() time.Duration { return time.Since(i.clockStart) + time.Hour }
 
 // restart loses all runs and state and starts a new incarnation, whose clock starts anew.
-// Polls that the former incarnation hasn't answered get no answer.
 func (i *fakeInstance) restart() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -473,6 +440,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.advance()
+	if i.restartedSince(s.Incarnation) {
+		return instance.ErrRestarted
+	}
 	if s.Fence < i.fence {
 		return instance.ErrFenced
 	}
@@ -497,6 +467,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.advance()
+	if i.restartedSince(s.Incarnation) {
+		return instance.ErrRestarted
+	}
 	if s.Fence < i.fence {
 		return instance.ErrFenced
 	}
@@ -514,11 +487,14 @@
 	for {
 		time.Sleep(time.Millisecond)
 		if i.restartCount() != restarts {
-			time.Sleep(time.Until(deadline) + unansweredTimeout)
+			if !i.closesConnections {
+				time.Sleep(time.Until(deadline) + unansweredTimeout)
+			}
 			return instance.Listing{}, instance.ErrUnknown
 		}
 		listing, err := i.list(p)
-		if err != nil || len(listing.Ended) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
+		other := p.Incarnation != 0 && listing.Incarnation != p.Incarnation
+		if err != nil || other || len(listing.Ended) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
 			return listing, err
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -529,6 +505,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.advance()
+	if i.restartedSince(p.Incarnation) {
+		p = instance.Poll{Fence: p.Fence}
+	}
 	if p.Fence < i.fence {
 		return instance.Listing{}, instance.ErrFenced
 	}
