Tickets for a former incarnation are not used

An advisor's ticket is valid for one incarnation of an instance. The owner kept it by the instance's ID, so after a restart it sent starts with the former incarnation's ticket until that ticket ran out; the instance refused them, and the tasks waited. A ticket is now kept with the incarnation that was known when it was asked for, and is not used at another one.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -50,9 +50,11 @@
 	requestedAt time.Time
 }
 
+// ticket is valid at one incarnation of an instance.
 type ticket struct {
-	text  string
-	until time.Time
+	text        string
+	incarnation int64
+	until       time.Time
 }
 
 // validTickets returns the valid tickets of a step by instance, and requests
@@ -66,7 +68,7 @@
 	}
 	valid := map[string]string{}
 	for instance, t := range a.tickets {
-		if now.Before(t.until) {
+		if now.Before(t.until) && t.incarnation == u.incarnationOf(instance) {
 			valid[instance] = t.text
 		}
 	}
@@ -100,25 +102,39 @@
 		return
 	}
 	a.inFlight, a.requestedAt = true, now
+	incarnations := make(map[string]int64, len(names))
+	for _, name := range names {
+		incarnations[name] = u.incarnationOf(name)
+	}
 	go func() {
 		advice, err := u.Advisor.Advise(u.ctx, id, names)
-		u.post(func() { u.onAdvice(id, a, names, advice, err, now) })
+		u.post(func() { u.onAdvice(id, a, incarnations, advice, err, now) })
 	}()
 }
 
-func (u *Unit) onAdvice(id StepID, a *stepAdvice, names []string, advice Advice, err error, requestedAt time.Time) {
+// incarnationOf returns the incarnation of an instance that answered last; 0 if none has.
+func (u *Unit) incarnationOf(id string) int64 {
+	if sess := u.sessions[id]; sess != nil {
+		return sess.incarnation
+	}
+	return 0
+}
+
+// onAdvice handles the answer to a request that named instances, given with their
+// incarnations at that time.
+func (u *Unit) onAdvice(id StepID, a *stepAdvice, asked map[string]int64, advice Advice, err error, requestedAt time.Time) {
 	a.inFlight = false
 	if err != nil {
-		u.Logger.Warn("advice.failed", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("instances", len(names)), zap.Error(err))
+		u.Logger.Warn("advice.failed", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("instances", len(asked)), zap.Error(err))
 		return
 	}
-	for _, name := range names {
+	for name := range asked {
 		a.requested[name] = true
 	}
 	for instance, text := range advice.Tickets {
-		a.tickets[instance] = ticket{text: text, until: requestedAt.Add(advice.Valid - ticketMargin)}
+		a.tickets[instance] = ticket{text: text, incarnation: asked[instance], until: requestedAt.Add(advice.Valid - ticketMargin)}
 	}
-	u.Logger.Info("advice.received", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("asked", len(names)), zap.Int("good", len(advice.Tickets)), zap.Duration("valid", advice.Valid))
+	u.Logger.Info("advice.received", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("asked", len(asked)), zap.Int("good", len(advice.Tickets)), zap.Duration("valid", advice.Valid))
 	u.planDue = true
 }
 
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -307,7 +307,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.adviceQueries += len(instances)
-	return Advice{Tickets: map[string]string{"i-0": "t"}, Valid: 3 * time.Second}, nil
+	return Advice{Tickets: map[string]string{"i-0": d.cluster.instances["i-0"].ticket()}, Valid: 3 * time.Second}, nil
 }
 
 // paceOrders returns the percentages of the pace orders so far.
@@ -339,6 +339,8 @@
 	outcome  job.End
 	// startDelay delays starts; the caller gets no answer to them.
 	startDelay time.Duration
+	// invalidTickets counts the starts refused for their ticket.
+	invalidTickets int
 	// starts lists all starts that were carried out.
 	starts   []fakeStart
 	draining bool
@@ -457,6 +459,10 @@
 	if s.Lease <= i.clock() {
 		return instance.ErrLate
 	}
+	if s.Ticket != "" && s.Ticket != i.ticketNow() {
+		i.invalidTickets++
+		return instance.ErrTicket
+	}
 	i.lastRun[s.Task] = s.Run
 	i.runs[s.Task] = &fakeRun{run: s.Run, startedAt: time.Now(), endsAt: time.Now().Add(i.duration), startup: i.startup}
 	i.starts = append(i.starts, fakeStart{task: s.Task, run: s.Run, at: time.Now()})
