An owner's orders are bound to the incarnation that they are meant for

Callers could see a task run again that was done, two runs of one task, a run of a cancelled job, and tasks that waited for 12.45 s after a restart and a cut, or 15.41 s after a takeover. An instance that restarts under its ID takes what is meant for its former incarnation; bounded one consequence, leases by the former clock, by waiting longer.

Now starts, stops and paces name the incarnation of the run that they concern, and polls the one that answered last; the client sends them to no other. A lease is computed from the clock of the named incarnation alone, else the order isn't sent. A tenure's first poll at an instance names none and renews, acknowledges and waits for nothing. A listing of another incarnation ends the runs that are bound to the former one, also unanswered ones, and so does a start that finds its incarnation gone; then nothing starts there until the next listing. restartExpiry, confirmed, starting and maxAckAge go.

Placements are stored as bound, so that a successor counts on the short lease only for those. Rows are arrays that earlier versions decode only at their length, so the mark is the sign of the stored incarnation.

This needs a client that heeds Incarnation: without one, the short lease is wrong for runs at a restarted instance.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -57,6 +57,8 @@
 	Instance string
 	// Incarnation is the Unix millisecond at which the instance started.
 	Incarnation int64
+	// Bound: the start was sent to that incarnation alone. Earlier versions sent it to any.
+	Bound bool
 }
 
 // Task is one task of an occurrence.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -337,7 +337,7 @@
 	switch {
 	case current == nil || current.Phase == Done || !j.Active():
 	case current.Phase == Waiting:
-		j.Place(id, j.NextRun(id), Placement{Instance: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "instance"), Incarnation: 3})
+		j.Place(id, j.NextRun(id), Placement{Instance: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "instance"), Incarnation: 3, Bound: rapid.Bool().Draw(t, "bound")})
 	default:
 		how := rapid.SampledFrom([]End{EndDone, EndFailed, EndStopped, EndLapsed}).Draw(t, "how")
 		j.Ended(id, current.Run, how, rapid.SampledFrom([]string{"", "c1"}).Draw(t, "checkpoint"), 3, now)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -13,7 +13,11 @@
 	Run      int
 	Failures int
 	// Instance is a 1-based index into progressRecord.Instances; 0 if not placed.
-	Instance    int
+	Instance int
+	// Incarnation is negated if the placement is bound to it. Rows can have no further
+	// field, since earlier versions only decode rows of as many fields. They compare it
+	// with the instance's alone, and treat the run as one of another incarnation, which
+	// ends unless the instance lists it, as any run does.
 	Incarnation int64
 	Checkpoint  string
 }
@@ -179,6 +183,13 @@
 	return t.numbers[id]
 }
 
+func (p Placement) storedIncarnation() int64 {
+	if p.Bound {
+		return -p.Incarnation
+	}
+	return p.Incarnation
+}
+
 func (t *instanceTable) rows(tasks []*Task, checkpoints bool) []taskRecord {
 	rows := make([]taskRecord, len(tasks))
 	for i, task := range tasks {
@@ -192,7 +203,7 @@
 		}
 		if task.Phase == Placed {
 			rows[i].Instance = t.number(task.Placement.Instance)
-			rows[i].Incarnation = task.Placement.Incarnation
+			rows[i].Incarnation = task.Placement.storedIncarnation()
 		}
 	}
 	return rows
--- a/internal/job/restore.go
+++ b/internal/job/restore.go
@@ -95,7 +95,7 @@
 			if row.Instance < 1 || row.Instance > len(instances) {
 				return errors.Errorf("task %d: instance index out of range", i)
 			}
-			t.Placement = Placement{Instance: instances[row.Instance-1], Incarnation: row.Incarnation}
+			t.Placement = Placement{Instance: instances[row.Instance-1], Incarnation: max(row.Incarnation, -row.Incarnation), Bound: row.Incarnation < 0}
 			j.placed++
 		}
 	}
--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -43,10 +43,8 @@
 	s.lossRecorded = true
 	s.outOfContact.Store(true)
 	left := time.Until(time.UnixMilli(l.LapsedBy)) + wallClockMargin
-	bound := int64(s.unit.Clock() + left)
-	if bound < s.leaseExpiry.Load() {
-		s.leaseExpiry.Store(bound)
-	}
+	bringForward(&s.leaseExpiry, s.unit.Clock()+left)
+	bringForward(&s.unboundExpiry, s.unit.Clock()+left)
 }
 
 // onPollFailed handles a failed poll. It gives the unit up if the instance has
--- a/internal/owner/former_incarnation_test.go
+++ b/internal/owner/former_incarnation_test.go
@@ -84,11 +84,11 @@
 func TestRepeatedStartForAFormerIncarnationRunsNowhere(t *testing.T) {
 	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
 		i := c.instances["i-0"]
-		i.duration = 900 * time.Millisecond
+		i.duration = 950 * time.Millisecond
 		d := c.startOwner(64)
 		d.setUnreachable("i-1", true)
-		time.Sleep(500 * time.Millisecond)
-		c.submit(jobB, smallStep(1)) // its end makes the instance answer a poll
+		time.Sleep(850 * time.Millisecond) // so that no poll is answered between the two tries
+		c.submit(jobB, smallStep(1))       // its end makes the instance answer a poll
 		d.awaitSent(startOrder, 1)
 		time.Sleep(300 * time.Millisecond)
 		i.setDuration(time.Hour)
@@ -101,7 +101,7 @@
 		d.setUnreachable("i-1", false)
 		d.holdNext(startOrder, "i-0", opening)
 		d.awaitSent(startOrder, 3)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(130 * time.Millisecond)
 		is.Equal(c.startsAt("i-0"), 2) // the first try was carried out
 		is.Equal(d.state(jobB), job.Completed)
 		c.restart("i-0")
@@ -114,7 +114,7 @@
 // Guards against a second run of a task by a start of a former owner that is on its way
 // while the instance restarts: the successor has raised the fence at the former
 // incarnation, which didn't list the run, and has started the task elsewhere. The unit is
-// handed over while the start opens its connection, the end of another run makes the
+// handed over while the start opens its connection, the ends of other runs make the
 // instance answer the successor's second poll, and then the successor loses contact.
 func TestStartOfAFormerOwnerForAFormerIncarnationRunsNowhere(t *testing.T) {
 	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
@@ -124,22 +124,23 @@
 		former := c.startOwner(64)
 		former.setUnreachable("i-1", true)
 		time.Sleep(500 * time.Millisecond)
-		c.submit(jobB, smallStep(1))
-		former.awaitSent(startOrder, 1)
+		c.instances["i-0"].outcome = job.EndFailed // so that the successor prefers i-1
+		c.submit(jobB, smallStep(2))
+		former.awaitSent(startOrder, 2)
 		time.Sleep(10 * time.Millisecond)
 		former.holdNext(startOrder, "i-0", opening)
 		c.submit(jobA, longStep(1))
-		former.awaitSent(startOrder, 2)
+		former.awaitSent(startOrder, 3)
 		former.setHeld(false)
 		former.unit.Stop()
 		c.instances["i-0"].endRunsAfter(230 * time.Millisecond)
 		successor := c.startOwner(128)
-		successor.awaitSent(startOrder, 1)
+		successor.awaitSent(startOrder, 3)
 		c.restart("i-0")
 		successor.setUnreachable("i-0", true)
 		checkNoOverlap(c, is, 20*time.Second)
-		is.Equal(c.startsAt("i-0"), 1) // that of the other job
-		is.Equal(c.startsAt("i-1"), 1)
+		is.Equal(c.startsAt("i-0"), 2) // those of the other job
+		is.Equal(len(c.startsOf(jobA)), 1)
 	})
 }
 
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -391,7 +391,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.restarts++
-	i.incarnation += time.Since(i.clockStart).Milliseconds() + 1
+	if i.incarnation != 0 { // 0: it tells none
+		i.incarnation += time.Since(i.clockStart).Milliseconds() + 1
+	}
 	i.clockStart, i.leaseUntil, i.fence, i.lastEndNumber = time.Now(), 0, 0, 0
 	i.runs, i.lastRun, i.ended = map[job.TaskID]*fakeRun{}, map[job.TaskID]int{}, nil
 }
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -4,8 +4,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
 )
 
@@ -18,8 +20,8 @@
 	leaseTarget = 6 * time.Second
 	// minClockRate is the slowest rate at which an instance's clock may run.
 	minClockRate = 0.98
-	// maxOrderTransit is the longest time from when a lease is computed for an order until
-	// the instance has the order. After the time-outs of a call, at most 1.9 s, its
+	// maxOrderTransit is the longest time from when a lease is computed for an order that
+	// isn't bound until an incarnation has the order. After the time-outs of a call, at most 1.9 s, its
 	// connection is reset.
 	maxOrderTransit = 2 * time.Second
 )
@@ -39,22 +41,25 @@
 	return time.Duration(float64(u.Bounds.MaxLease) * leaseMargin)
 }
 
-// extendLease returns the time, by the instance's clock, to extend its lease
-// to, and moves leaseExpiry and restartExpiry accordingly. It returns 0 while the
-// instance's clock isn't known. It is safe for concurrent use.
-func (s *session) extendLease() time.Duration {
-	if s.clock.Load() == nil {
-		return 0
+// extendLease returns the time, by the clock of an incarnation, to extend its lease to, and
+// moves the expiries accordingly. It returns 0 while the instance's clock isn't known, and
+// ErrRestarted if the known clock is another incarnation's. It is safe for concurrent use.
+func (s *session) extendLease(incarnation int64) (time.Duration, error) {
+	reading := s.clock.Load()
+	switch {
+	case reading == nil:
+		return 0, nil
+	case reading.incarnation != incarnation:
+		return 0, errors.Wrap(instance.ErrRestarted, "the clock read last is another incarnation's")
 	}
 	s.extensions.Add(1)
 	now := s.unit.Clock()
 	putOff(&s.leaseExpiry, now+s.unit.leaseUpperBound())
-	putOff(&s.restartExpiry, now+maxOrderTransit+s.unit.longestLease())
-	// The clock is read after restartExpiry has moved: if another incarnation's clock
-	// replaces it meanwhile, the expiry that is then derived covers this order.
-	reading := s.clock.Load()
+	if incarnation == 0 {
+		putOff(&s.unboundExpiry, now+maxOrderTransit+s.unit.longestLease())
+	}
 	elapsed := time.Duration(float64(now-reading.at) * minClockRate)
-	return reading.clock + elapsed + s.unit.leaseTerm()
+	return reading.clock + elapsed + s.unit.leaseTerm(), nil
 }
 
 // putOff moves an expiry to a time unless it is later already: a sender that was held up
@@ -68,29 +73,33 @@
 	}
 }
 
-// onNewIncarnation puts leaseExpiry off to cover the orders that were sent with the clock of
-// the former incarnation.
-func (s *session) onNewIncarnation() {
-	putOff(&s.leaseExpiry, time.Duration(s.restartExpiry.Load()))
+// bringForward moves an expiry to a time unless it is earlier already.
+func bringForward(expiry *atomic.Int64, to time.Duration) {
+	if int64(to) < expiry.Load() {
+		expiry.Store(int64(to))
+	}
 }
 
-// onFirstContact brings leaseExpiry forward: from the first poll on, the instance refuses
+// onFirstContact brings unboundExpiry forward: from the first poll on, the instance refuses
 // the orders of former owners.
 func (s *session) onFirstContact() {
-	bound := int64(s.unit.Clock() + s.unit.longestLease())
-	if bound < s.leaseExpiry.Load() {
-		s.leaseExpiry.Store(bound)
-	}
+	bringForward(&s.unboundExpiry, s.unit.Clock()+s.unit.longestLease())
+}
+
+// onNewIncarnation puts unboundExpiry off: until it was polled, the incarnation had no fence
+// against the orders of former owners.
+func (s *session) onNewIncarnation() {
+	putOff(&s.unboundExpiry, s.unit.Clock()+s.unit.longestLease())
 }
 
 // expiry returns when the lease of a run has expired at the latest, without further
-// extensions. A run that hasn't been listed may have been started by an incarnation
-// whose clock isn't known yet.
+// extensions. A run that isn't bound may have been started by an incarnation whose lease
+// was extended by the clock of another one.
 func (s *session) expiry(r *run) time.Duration {
-	if r.confirmed {
+	if r.bound {
 		return time.Duration(s.leaseExpiry.Load())
 	}
-	return time.Duration(max(s.leaseExpiry.Load(), s.restartExpiry.Load()))
+	return time.Duration(max(s.leaseExpiry.Load(), s.unboundExpiry.Load()))
 }
 
 // lastExpiry returns when the leases of all runs there have expired at the latest.
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -25,7 +25,10 @@
 	if l.Unreadable > 0 {
 		u.Logger.Warn("instance.rows_unreadable", zap.String("instance", sess.reg.ID), zap.Int("rows", l.Unreadable))
 	}
-	u.applyIncarnation(sess, l, sent, now)
+	if !sent.Before(sess.restartedAt) {
+		sess.restartedAt = time.Time{}
+	}
+	u.applyIncarnation(sess, l, now)
 	if !sess.reconciled {
 		sess.onFirstContact()
 		sess.reconciled, sess.reconciledAt = true, now
@@ -56,11 +59,10 @@
 }
 
 // applyIncarnation detects an instance that has restarted: it numbers its ends
-// from 1, and none of the former incarnation's runs exist there. A run that the
-// new incarnation lists is kept although it was placed at the former one: the
-// start arrived after the restart. One that was answered after the poll was sent is
-// left to the next poll.
-func (u *Unit) applyIncarnation(sess *session, l instance.Listing, sent, now time.Time) {
+// from 1, and the runs that are bound to the former incarnation are gone. The others are
+// kept while the new one lists them: an owner of an earlier version may have started them
+// there.
+func (u *Unit) applyIncarnation(sess *session, l instance.Listing, now time.Time) {
 	if l.Incarnation == sess.incarnation {
 		return
 	}
@@ -68,16 +70,28 @@
 		sess.onNewIncarnation()
 	}
 	sess.lastApplied, sess.lastRecorded, sess.strays = 0, 0, 0
-	sess.incarnation = l.Incarnation
+	sess.incarnation, sess.restartedAt = l.Incarnation, time.Time{}
+	if l.Incarnation == 0 {
+		return // it tells none now
+	}
 	for id, r := range sess.runs {
-		if l.MoreEnds || r.resolvedAt.IsZero() || !r.resolvedAt.Before(sent) {
-			continue
-		}
-		if u.placement(id).Incarnation == l.Incarnation || listsRun(l, id, r.number) {
-			continue
+		if r.bound && r.incarnation != l.Incarnation && !listsRun(l, id, r.number) {
+			u.endWithIncarnation(sess, id, r, now)
 		}
-		u.Logger.Info("run.lost_with_instance", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID))
-		u.endRun(sess, id, job.EndLost, "", now)
+	}
+}
+
+// endWithIncarnation ends a run that can't exist any more, nor start.
+func (u *Unit) endWithIncarnation(sess *session, id job.TaskID, r *run, now time.Time) {
+	u.Logger.Info("run.lost_with_instance", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID))
+	u.endRun(sess, id, job.EndLost, "", now)
+}
+
+// onRestarted handles an order that wasn't sent because its incarnation has ended. Nothing
+// starts there until a later poll is answered.
+func (s *session) onRestarted(incarnation int64, now time.Time) {
+	if incarnation == s.incarnation {
+		s.restartedAt = now
 	}
 }
 
@@ -96,15 +110,6 @@
 	return false
 }
 
-func (u *Unit) placement(id job.TaskID) job.Placement {
-	if e := u.jobs[id.Job]; e != nil {
-		if t := e.job.Task(id); t != nil {
-			return t.Placement
-		}
-	}
-	return job.Placement{}
-}
-
 // applyEnds applies the listed ends that haven't been applied yet.
 func (u *Unit) applyEnds(sess *session, ended []instance.EndedTask, now time.Time) {
 	for _, end := range ended {
@@ -214,7 +219,9 @@
 	if r.resolvedAt.IsZero() {
 		r.resolvedAt = now
 	}
-	r.confirmed = r.confirmed || !r.starting
+	// An earlier version's owner may have started it at another incarnation.
+	r.bound = r.bound && r.incarnation == sess.incarnation
+	r.incarnation = sess.incarnation
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -18,7 +18,7 @@
 	if e == nil || sess.runs[id] != r {
 		return
 	}
-	if r.confirmed {
+	if tries > 0 && !r.resolvedAt.IsZero() {
 		return // an earlier try was carried out
 	}
 	if r.stopping && tries == 0 {
@@ -28,7 +28,7 @@
 		return
 	}
 	start := instance.Start{
-		Task: id, Run: r.number, Payload: e.job.Submission.Payload, Ticket: ticket, Fence: u.tenure.Epoch,
+		Incarnation: r.incarnation, Task: id, Run: r.number, Payload: e.job.Submission.Payload, Ticket: ticket, Fence: u.tenure.Epoch,
 	}
 	if t := e.job.Task(id); t != nil {
 		start.Checkpoint = t.Checkpoint
@@ -36,9 +36,8 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = time.Now()
 	}
-	r.starting = true
 	sess.enqueue(order{
-		carriesLease: true,
+		carriesLease: true, incarnation: r.incarnation,
 		send: func(ctx context.Context, at instance.Registration, lease time.Duration) error {
 			start.Lease = lease
 			return u.Instances.Start(ctx, at, start)
@@ -49,7 +48,6 @@
 
 // onStarted handles the result of a start.
 func (u *Unit) onStarted(sess *session, id job.TaskID, r *run, ticket string, tries int, err error) {
-	r.starting = false
 	if sess.runs[id] != r {
 		return
 	}
@@ -67,6 +65,9 @@
 		u.Logger.Warn("start.unanswered", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID), zap.Int("try", tries), zap.Error(err))
 		sess.countFailure(now)
 		u.retryStart(sess, id, r, ticket, tries+1)
+	case errors.Is(err, instance.ErrRestarted) && (r.bound || tries == 0):
+		sess.onRestarted(r.incarnation, now)
+		u.endWithIncarnation(sess, id, r, now)
 	case tries > 0:
 		// An earlier try may still be carried out.
 		u.sendStop(sess, id, r, "start outcome unknown")
@@ -95,9 +96,10 @@
 	}
 	r.stopping = true
 	r.stopSentAt = time.Now()
+	stop := instance.Stop{Incarnation: r.incarnation, Task: id, Run: r.number, Fence: u.tenure.Epoch}
 	sess.enqueue(order{
 		send: func(ctx context.Context, at instance.Registration, _ time.Duration) error {
-			return u.Instances.Stop(ctx, at, instance.Stop{Task: id, Run: r.number, Fence: u.tenure.Epoch})
+			return u.Instances.Stop(ctx, at, stop)
 		},
 		done: func(err error) { u.onStopped(sess, id, r, err) },
 	})
@@ -107,10 +109,15 @@
 	if sess.runs[id] != r {
 		return
 	}
-	if err == nil && r.resolvedAt.IsZero() {
-		r.resolvedAt = time.Now()
-	}
-	if errors.Is(err, instance.ErrFenced) {
+	switch {
+	case err == nil:
+		if r.resolvedAt.IsZero() {
+			r.resolvedAt = time.Now()
+		}
+	case errors.Is(err, instance.ErrRestarted):
+		// The next listing ends the run.
+		sess.onRestarted(r.incarnation, time.Now())
+	case errors.Is(err, instance.ErrFenced):
 		u.lose("an instance has a newer owner")
 	}
 }
@@ -155,9 +162,10 @@
 // stopStray stops a run that the unit has no record of.
 func (u *Unit) stopStray(sess *session, t instance.RunningTask) {
 	u.Logger.Warn("run.stray", zap.String("job", t.Task.Job), zap.Int("run", t.Run), zap.String("instance", sess.reg.ID))
+	stop := instance.Stop{Incarnation: sess.incarnation, Task: t.Task, Run: t.Run, Fence: u.tenure.Epoch}
 	sess.enqueue(order{
 		send: func(ctx context.Context, at instance.Registration, _ time.Duration) error {
-			return u.Instances.Stop(ctx, at, instance.Stop{Task: t.Task, Run: t.Run, Fence: u.tenure.Epoch})
+			return u.Instances.Stop(ctx, at, stop)
 		},
 		done: func(err error) {
 			if err != nil {
@@ -180,7 +188,11 @@
 			u.allowances.add(e.job.Submission, step)
 			// The run counts as resolved: the first poll raises the fence, so no start
 			// of a former owner can be carried out after it.
-			sess.addRun(id, &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, confirmed: true, stopping: !e.job.Active(), pacePercent: fullPace})
+			r := &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, stopping: !e.job.Active(), pacePercent: fullPace}
+			if t.Placement.Bound {
+				r.incarnation, r.bound = t.Placement.Incarnation, true
+			}
+			sess.addRun(id, r)
 		})
 	}
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -173,15 +173,15 @@
 }
 
 // Guards against consecutive takeovers that each wait again for the leases of
-// an unreachable instance to expire.
+// an unreachable instance to expire, also of runs that an earlier version has started.
 func TestConsecutiveTakeoversDontProlongALoss(t *testing.T) {
-	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
+	forBoundAndUnbound(t, 2, func(c *cluster, d *daemon, is *is.I) {
+		earlierVersion := d.transit.unbound
 		for _, i := range c.instances {
 			i.duration = time.Hour
 		}
 		longRunning := longStep(8)
 		longRunning.Lasting = true
-		d := c.startOwner(64)
 		c.submit(jobA, longRunning)
 		time.Sleep(500 * time.Millisecond)
 		c.remove("i-0")
@@ -190,6 +190,9 @@
 			d.setUnreachable("i-0", true)
 			time.Sleep(2 * time.Second)
 			d.unit.Stop()
+			if earlierVersion {
+				c.storeAsEarlierVersion(jobA)
+			}
 			d = c.startOwner(epoch)
 		}
 		d.setUnreachable("i-0", true)
@@ -503,8 +506,7 @@
 // A restarted instance numbers its ends from 1. They must not be acknowledged
 // with the number of an end of the former incarnation.
 func TestEndsOfANewIncarnationAreNotAcknowledgedUnread(t *testing.T) {
-	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
-		d := c.startOwner(64)
+	forBoundAndUnbound(t, 1, func(c *cluster, d *daemon, is *is.I) {
 		for n := range 8 {
 			c.submit(fmt.Sprintf("%016x", 0xf00+n), smallStep(1))
 		}
@@ -515,18 +517,20 @@
 		i.runs, i.lastRun, i.ended, i.lastEndNumber, i.fence = map[job.TaskID]*fakeRun{}, map[job.TaskID]int{}, nil, 0, 0
 		i.duration = 20 * time.Millisecond
 		i.mu.Unlock()
-		c.submit(jobA, smallStep(1)) // starts and ends before the next poll
+		c.submit(jobA, smallStep(1)) // starts and ends before the next poll, if unbound
+		time.Sleep(2 * time.Second)
+		d.view.ResetRegistry(c.registrations()) // it writes its new entry
 		time.Sleep(3 * time.Second)
 		is.Equal(d.state(jobA), job.Completed)
 		is.Equal(c.completions(jobA), 1)
 	})
 }
 
-// The owner may start a task at a new incarnation before it has seen the
-// restart. The run isn't lost and must not start elsewhere as well.
+// An owner may start a task at a new incarnation before it has seen the
+// restart, if the start isn't bound. The run isn't lost and must not start elsewhere as
+// well. A bound start must not run there.
 func TestRunOfANewIncarnationIsKept(t *testing.T) {
-	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
-		d := c.startOwner(64)
+	forBoundAndUnbound(t, 2, func(c *cluster, d *daemon, is *is.I) {
 		time.Sleep(100 * time.Millisecond)
 		for _, i := range c.instances {
 			i.mu.Lock()
@@ -536,7 +540,15 @@
 		}
 		step := smallStep(2)
 		step.Estimate = 3 * time.Second
-		c.submit(jobA, step) // starts before a poll has shown the new incarnations
+		c.submit(jobA, step) // is placed before a poll has shown the new incarnations
+		time.Sleep(400 * time.Millisecond)
+		if d.transit.unbound {
+			is.Equal(len(c.startsOf(jobA)), 2)
+		} else {
+			is.Equal(len(c.startsOf(jobA)), 0)
+		}
+		time.Sleep(1600 * time.Millisecond)
+		d.view.ResetRegistry(c.registrations()) // they write their new entries
 		checkNoOverlap(c, is, 6*time.Second)
 		is.Equal(d.state(jobA), job.Completed)
 		is.Equal(len(c.startsOf(jobA)), 2)
@@ -586,18 +598,25 @@
 	})
 }
 
-// A poll that was scheduled before its instance restarted must not acknowledge
-// ends of the new incarnation.
+// A poll that was scheduled before its instance restarted, or that reaches it after a
+// restart, must not acknowledge ends of the new incarnation.
 func TestPollForAFormerIncarnationAcknowledgesNothing(t *testing.T) {
 	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
 		d := c.startOwner(64)
 		time.Sleep(100 * time.Millisecond)
-		sess := &session{unit: d.unit, ctx: c.ctx, nextPoll: make(chan ackCursor, 1), polledIncarnation: 2, polledAt: time.Now()}
-		sess.target.Store(&instance.Registration{ID: "i-0"})
-		sess.pollOnce(ackCursor{incarnation: 1, recorded: 57})
-		is.Equal(c.instances["i-0"].lastAcknowledged(), int64(0))
-		sess.polledIncarnation, sess.polledAt = 1, time.Now()
-		sess.pollOnce(ackCursor{incarnation: 1, recorded: 57})
+		present := c.instances["i-0"].incarnation
+		former := present - 1
+		poll := func(polled, scheduledFor int64) int64 {
+			sess := &session{unit: d.unit, ctx: c.ctx, nextPoll: make(chan ackCursor, 1), polledIncarnation: polled}
+			sess.target.Store(&instance.Registration{ID: "i-0"})
+			sess.pollOnce(ackCursor{incarnation: scheduledFor, recorded: 57})
+			return sess.lastAcknowledged
+		}
+		for _, polled := range []int64{present, former} {
+			is.Equal(poll(polled, former), int64(0))
+			is.Equal(c.instances["i-0"].lastAcknowledged(), int64(0))
+		}
+		is.Equal(poll(present, present), int64(57))
 		is.Equal(c.instances["i-0"].lastAcknowledged(), int64(57))
 	})
 }
--- a/internal/owner/pace.go
+++ b/internal/owner/pace.go
@@ -63,9 +63,10 @@
 	previous := r.pacePercent
 	r.pacePercent = percent
 	u.Logger.Info("run.paced", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID), zap.Int("percent", percent))
+	pace := instance.Pace{Incarnation: r.incarnation, Task: id, Run: r.number, Percent: percent, Fence: u.tenure.Epoch}
 	sess.enqueue(order{
 		send: func(ctx context.Context, at instance.Registration, _ time.Duration) error {
-			return u.Instances.Pace(ctx, at, instance.Pace{Task: id, Run: r.number, Percent: percent, Fence: u.tenure.Epoch})
+			return u.Instances.Pace(ctx, at, pace)
 		},
 		done: func(err error) {
 			if err != nil && r.pacePercent == percent {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -29,30 +29,13 @@
 		return
 	}
 	sent := time.Now()
-	poll := instance.Poll{Fence: s.unit.tenure.Epoch}
-	// Ends of an old listing are acknowledged after a poll that confirms it.
-	ackDue := next.incarnation == s.polledIncarnation && next.recorded > s.lastAcknowledged
-	confirmIncarnation := ackDue && sent.Sub(s.polledAt) > maxAckAge
-	if ackDue && !confirmIncarnation {
-		poll.Acknowledged = next.recorded
-	}
-	if !s.outOfContact.Load() {
-		// While contact is lost, no poll may extend the lease: its answer may get
-		// lost, and each try would put off leaseExpiry.
-		poll.Lease = s.extendLease()
-	}
-	if poll.Lease > 0 && !confirmIncarnation {
-		poll.Wait = cmp.Or(next.wait, pollWait)
-	}
+	poll := s.nextPollCall(next)
 	listing, err := s.unit.Instances.Poll(s.ctx, *s.target.Load(), poll)
 	if err != nil {
 		s.outOfContact.Store(true)
-		// The instance may have restarted since.
-		s.polledAt = time.Time{}
-	}
-	if err == nil {
+	} else {
 		s.recordAnswer(listing.Incarnation, poll.Acknowledged)
-		s.clock.Store(&clockReading{clock: listing.Clock, at: s.unit.Clock()})
+		s.clock.Store(&clockReading{clock: listing.Clock, at: s.unit.Clock(), incarnation: listing.Incarnation})
 	}
 	s.unit.post(func() { s.unit.onPoll(s, listing, err, sent) })
 	if err != nil {
@@ -60,11 +43,30 @@
 		s.enqueuePoll(next)
 		return
 	}
-	if poll.Wait == 0 && !confirmIncarnation {
+	if poll.Wait == 0 {
 		pause.For(s.ctx, pollRetryDelay)
 	}
 }
 
+// nextPollCall returns the next poll, for the incarnation that answered last. While none
+// has, it only raises the fence and asks for the listing.
+func (s *session) nextPollCall(next ackCursor) instance.Poll {
+	poll := instance.Poll{Incarnation: s.polledIncarnation, Fence: s.unit.tenure.Epoch}
+	if next.incarnation == s.polledIncarnation && next.recorded > s.lastAcknowledged {
+		poll.Acknowledged = next.recorded
+	}
+	if s.outOfContact.Load() {
+		// While contact is lost, no poll may extend the lease: its answer may get
+		// lost, and each try would put off the expiries.
+		return poll
+	}
+	// The poll goroutine stores the clock with polledIncarnation, so it is that one's.
+	if lease, err := s.extendLease(s.polledIncarnation); err == nil && lease > 0 {
+		poll.Lease, poll.Wait = lease, cmp.Or(next.wait, pollWait)
+	}
+	return poll
+}
+
 // recordAnswer notes which incarnation answered, and what was acknowledged.
 func (s *session) recordAnswer(incarnation, acknowledged int64) {
 	extended := s.extensions.Swap(0)
@@ -78,8 +80,7 @@
 	} else {
 		s.lastAcknowledged = max(s.lastAcknowledged, acknowledged)
 	}
-	s.polledAt = time.Now()
-	s.answeredAt = s.polledAt
+	s.answeredAt = time.Now()
 }
 
 // schedulePoll schedules the next poll with the ends recorded so far. The
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -268,8 +268,11 @@
 		if !e.job.Started() {
 			u.Logger.Info("job.first_start", zap.String("job", e.job.ID()), zap.String("instance", s.Node), zap.Int64("waited_ms", now.UnixMilli()-e.job.Submission.AcceptedAt))
 		}
-		e.job.Place(s.Task, number, job.Placement{Instance: s.Node, Incarnation: sess.incarnation})
-		r := &run{number: number, need: step.Allocation(), step: step, noValue: s.Class == schedule.NoValue, pacePercent: fullPace}
+		e.job.Place(s.Task, number, job.Placement{Instance: s.Node, Incarnation: sess.incarnation, Bound: sess.incarnation != 0})
+		r := &run{
+			number: number, need: step.Allocation(), step: step, noValue: s.Class == schedule.NoValue, pacePercent: fullPace,
+			incarnation: sess.incarnation, bound: sess.incarnation != 0,
+		}
 		sess.addRun(s.Task, r)
 		u.allowances.add(e.job.Submission, step)
 		u.markDirty(e)
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -22,10 +22,6 @@
 	// startupPollWait is the same while a long-running task there doesn't serve yet: the
 	// next move of a task of its step may have to wait for it.
 	startupPollWait = 200 * time.Millisecond
-	// maxAckAge bounds the age of the listing whose ends a poll acknowledges. It
-	// is shorter than a restart: a restarted instance numbers its ends from 1, and
-	// would delete the ends of other runs.
-	maxAckAge = 300 * time.Millisecond
 	// pollRetryDelay is the delay after a poll that failed or didn't wait.
 	pollRetryDelay = 200 * time.Millisecond
 	// contactTimeout without an answer keeps an instance from getting new tasks.
@@ -52,6 +48,8 @@
 	cancel context.CancelFunc
 
 	incarnation int64
+	// restartedAt is when an order last showed that this incarnation has ended.
+	restartedAt time.Time
 	// reconciled: the instance has seen this tenure's fence and listed its runs.
 	reconciled   bool
 	reconciledAt time.Time
@@ -86,21 +84,20 @@
 	// resumeBelow of its latency target, or a backfill task's pace was raised.
 	belowTargetSince time.Time
 
-	// polledIncarnation is the incarnation that answered the last poll, at
-	// polledAt (zero after a failed poll), and lastAcknowledged the number of the
-	// last end acknowledged to it. answeredAt is like polledAt, but stays after a failed
-	// poll. They belong to the poll goroutine.
+	// polledIncarnation is the incarnation that last answered a poll, at answeredAt, and
+	// lastAcknowledged the number of the last end acknowledged to it. They belong to the
+	// poll goroutine.
 	polledIncarnation, lastAcknowledged int64
-	polledAt, answeredAt                time.Time
+	answeredAt                          time.Time
 
 	target atomic.Pointer[instance.Registration]
 	clock  atomic.Pointer[clockReading]
-	// leaseExpiry is when all leases there have expired at the latest, in
-	// nanoseconds of the boot clock, if the instance hasn't restarted since it was polled.
+	// leaseExpiry is when the leases of all bound runs there have expired at the latest, in
+	// nanoseconds of the boot clock.
 	leaseExpiry atomic.Int64
-	// restartExpiry is the same if it has: an order by the clock of a former incarnation
-	// extends the lease of its successor to the longest that an instance grants.
-	restartExpiry atomic.Int64
+	// unboundExpiry is the same for runs that aren't bound: an order by the clock of a
+	// former incarnation extends their lease to the longest that an instance grants.
+	unboundExpiry atomic.Int64
 	// extensions counts the orders that extended the lease since the last answer to a poll.
 	extensions atomic.Int64
 	// outOfContact forbids extending the lease: a poll has failed, or the store
@@ -119,10 +116,11 @@
 	wait time.Duration
 }
 
-// clockReading is an instance's clock, read when the boot clock showed at.
+// clockReading is an incarnation's clock, read when the boot clock showed at.
 type clockReading struct {
-	clock time.Duration
-	at    time.Duration
+	clock       time.Duration
+	at          time.Duration
+	incarnation int64
 }
 
 // run is a start recorded for an instance.
@@ -136,11 +134,10 @@
 	// resolvedAt is when it became certain that no start order for the run is
 	// still under way; zero before.
 	resolvedAt time.Time
-	// confirmed: the instance has listed the run while no start order for it was under way,
-	// so it was started by the incarnation that listed it.
-	confirmed bool
-	// starting: a start order is under way.
-	starting    bool
+	// incarnation is the one that orders for the run are meant for; 0 for any.
+	incarnation int64
+	// bound: its starts were sent to that incarnation alone.
+	bound       bool
 	stopping    bool
 	stopSentAt  time.Time
 	startedAt   time.Time
@@ -153,8 +150,10 @@
 // result on the unit's goroutine.
 type order struct {
 	carriesLease bool
-	send         func(ctx context.Context, at instance.Registration, lease time.Duration) error
-	done         func(error)
+	// incarnation is the one whose lease it carries; 0 if the instance tells none.
+	incarnation int64
+	send        func(ctx context.Context, at instance.Registration, lease time.Duration) error
+	done        func(error)
 }
 
 func (u *Unit) newSession(reg instance.Registration, listed bool) *session {
@@ -165,9 +164,10 @@
 	sess.idleSince, sess.knownSince = time.Now(), time.Now()
 	sess.ctx, sess.cancel = context.WithCancel(u.ctx)
 	sess.target.Store(&reg)
-	// A former owner may have extended the lease until the end of its tenure, by the clock
-	// of a former incarnation.
-	sess.leaseExpiry.Store(int64(u.takenOverAt + ownership.Grace + maxOrderTransit + u.longestLease()))
+	// A former owner may have extended the lease until the end of its tenure; one of an
+	// earlier version by the clock of a former incarnation.
+	sess.leaseExpiry.Store(int64(u.takenOverAt + ownership.Grace + u.leaseUpperBound()))
+	sess.unboundExpiry.Store(int64(u.takenOverAt + ownership.Grace + maxOrderTransit + u.longestLease()))
 	if loss, known := u.contactLosses[reg.ID]; known {
 		sess.applyLoss(loss)
 	}
@@ -204,7 +204,11 @@
 	}
 	var lease time.Duration
 	if o.carriesLease {
-		lease = s.extendLease()
+		var err error
+		if lease, err = s.extendLease(o.incarnation); err != nil {
+			s.unit.post(func() { o.done(err) })
+			return
+		}
 	}
 	err := o.send(s.ctx, *s.target.Load(), lease)
 	s.unit.post(func() { o.done(err) })
@@ -232,7 +236,7 @@
 }
 
 func (s *session) usable(now time.Time) bool {
-	return s.listed && s.reconciled && s.entryCurrent() && !s.reg.Draining && !s.unreachable && s.strays == 0 &&
+	return s.listed && s.reconciled && s.restartedAt.IsZero() && s.entryCurrent() && !s.reg.Draining && !s.unreachable && s.strays == 0 &&
 		!s.cordoned(now) && now.Sub(s.lastContact) < contactTimeout
 }
 
--- a/internal/owner/transit_test.go
+++ b/internal/owner/transit_test.go
@@ -13,6 +13,7 @@
 const (
 	startOrder orderKind = "start"
 	stopOrder  orderKind = "stop"
+	paceOrder  orderKind = "pace"
 	pollOrder  orderKind = "poll"
 )
 
@@ -27,8 +28,16 @@
 	unbound bool
 	// held is the time that the next order takes, by kind and instance.
 	held map[heldOrder]time.Duration
-	// sent counts the orders by kind.
-	sent map[orderKind]int
+	// sent counts the orders by kind, meantFor those that name an incarnation by it.
+	sent     map[orderKind]int
+	meantFor map[meantFor]int
+	// leasedAt is when a poll or start that carries a lease was last sent, by instance.
+	leasedAt map[string]time.Time
+}
+
+type meantFor struct {
+	kind        orderKind
+	incarnation int64
 }
 
 type heldOrder struct {
@@ -36,6 +45,13 @@
 	id   string
 }
 
+// setUnbound makes the daemon's orders name no incarnation.
+func (d *daemon) setUnbound() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.transit.unbound = true
+}
+
 // holdNext holds the daemon's next order of a kind to an instance on its way for a time.
 func (d *daemon) holdNext(kind orderKind, id string, held time.Duration) {
 	if held > maxHold {
@@ -56,15 +72,25 @@
 	return d.transit.sent[kind]
 }
 
+// ordersFor returns how many of them name an incarnation.
+func (d *daemon) ordersFor(kind orderKind, incarnation int64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.transit.meantFor[meantFor{kind, incarnation}]
+}
+
 // depart notes an order, and returns how long it is held and the incarnation that its
 // client heeds.
 func (d *daemon) depart(kind orderKind, id string, incarnation int64) (time.Duration, int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.transit.sent == nil {
-		d.transit.sent = map[orderKind]int{}
+		d.transit.sent, d.transit.meantFor = map[orderKind]int{}, map[meantFor]int{}
 	}
 	d.transit.sent[kind]++
+	if incarnation != 0 {
+		d.transit.meantFor[meantFor{kind, incarnation}]++
+	}
 	held := d.transit.held[heldOrder{kind, id}]
 	delete(d.transit.held, heldOrder{kind, id})
 	if d.transit.unbound {
@@ -73,6 +99,26 @@
 	return held, incarnation
 }
 
+// noteLease notes an order that carries a lease.
+func (d *daemon) noteLease(id string, lease time.Duration) {
+	if lease == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.transit.leasedAt == nil {
+		d.transit.leasedAt = map[string]time.Time{}
+	}
+	d.transit.leasedAt[id] = time.Now()
+}
+
+// lastLease returns when the daemon last sent an order with a lease to an instance.
+func (d *daemon) lastLease(id string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.transit.leasedAt[id]
+}
+
 // carry takes an order to an instance, and returns that instance once the order has
 // arrived. Opening the order's connection takes the first unreachableTimeout of the time
 // for which it is held: the connection leads to the incarnation that is there then, and
@@ -100,6 +146,7 @@
 func (d *daemon) Start(_ context.Context, at instance.Registration, s instance.Start) error {
 	var held time.Duration
 	held, s.Incarnation = d.depart(startOrder, at.ID, s.Incarnation)
+	d.noteLease(at.ID, s.Lease)
 	i, err := d.carry(at.ID, held)
 	if err != nil {
 		return err
@@ -122,6 +169,7 @@
 func (d *daemon) Poll(ctx context.Context, at instance.Registration, p instance.Poll) (instance.Listing, error) {
 	var held time.Duration
 	held, p.Incarnation = d.depart(pollOrder, at.ID, p.Incarnation)
+	d.noteLease(at.ID, p.Lease)
 	i, err := d.carry(at.ID, held)
 	if err != nil {
 		return instance.Listing{}, err
@@ -130,10 +178,11 @@
 }
 
 func (d *daemon) Pace(_ context.Context, at instance.Registration, p instance.Pace) error {
+	_, p.Incarnation = d.depart(paceOrder, at.ID, p.Incarnation)
 	i := d.reachable(at.ID)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if i != nil && !d.transit.unbound {
+	if i != nil {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		if i.restartedSince(p.Incarnation) {
