A test of how soon a task starts elsewhere whose start a restart kept from being sent

Guards against a wait for the lease of a run that can't exist. The task is placed before the restart is noticed; then its instance is cut off, or the owner is replaced and can't reach it.

--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,6 +81,40 @@
 	}
 }
 
+// Guards against a wait for a run that can't exist: the task is placed before the restart
+// is noticed, and the instance is cut off or the owner replaced. The start was never sent,
+// so the task starts elsewhere as soon as the other instance answers.
+func TestNoWaitForAStartThatARestartKeptFromBeingSent(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner replaced: %v", replaced), func(t *testing.T) {
+			inVirtualTime(t, 2, func(c *cluster, is *is.I) {
+				for _, i := range c.instances {
+					i.duration = time.Hour
+				}
+				d := c.startOwner(64)
+				d.setUnreachable("i-1", true)
+				time.Sleep(10 * time.Second)
+				c.instances["i-0"].restart()
+				time.Sleep(100 * time.Millisecond)
+				c.submit(jobA, longStep(1))
+				d.awaitSent(startOrder, 1)
+				time.Sleep(200 * time.Millisecond)
+				is.Equal(c.startsAt("i-0"), 0)
+				cut := time.Now()
+				if replaced {
+					d.setHeld(false)
+					d = c.startOwner(128)
+				}
+				d.setUnreachable("i-0", true)
+				d.setUnreachable("i-1", false)
+				checkNoOverlap(c, is, 20*time.Second)
+				is.Equal(c.startsAt("i-0"), 0)
+				isWithin(is, c.firstStart(jobA, "i-1").Sub(cut), 0, unreachableTimeout+pollRetryDelay+placementDelay)
+			})
+		})
+	}
+}
+
 // Guards against a successor that waits for the longest lease for runs that are bound, and
 // against one that waits for less for the others.
 func TestWaitAfterATakeover(t *testing.T) {
