--- a/cmd/beryltided/fleet.go
+++ b/cmd/beryltided/fleet.go
@@ -76,10 +76,12 @@
 // platform.
 func openFleetPorts(s fleetd.Settings, logger *zap.Logger) (fleetd.Ports, error) {
 	scope, metricsPage, _ := metrics.New()
+	instances := platform.NewInstances()
 	ports := fleetd.Ports{
-		Log:       store.Watch(platform.NewStore(s.Store, observeStoreCalls(scope)), bootclock.System),
-		Instances: platform.NewInstances(),
-		Advisor:   platform.NewAdvisor(s.Advisor),
+		Log:              store.Watch(platform.NewStore(s.Store, observeStoreCalls(scope)), bootclock.System),
+		Instances:        instances,
+		MixedConnections: instances.MixedConnections,
+		Advisor:          platform.NewAdvisor(s.Advisor),
 		Decoders: fleetview.Decoders{
 			Operator:     platform.DecodeOperatorRecord,
 			Registration: platform.DecodeRegistration,
--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -74,8 +74,11 @@
 type Ports struct {
 	Log       *store.Watched
 	Instances instance.Client
-	Advisor   owner.Advisor
-	Decoders  fleetview.Decoders
+	// MixedConnections returns the number of connections on which two incarnations of an
+	// instance have answered; nil if the client doesn't count them.
+	MixedConnections func() int64
+	Advisor          owner.Advisor
+	Decoders         fleetview.Decoders
 	// OperatorTopic is written by operators, RegistryTopic by instances, and
 	// StatusTopic by the holder of the fleet's unit for operators.
 	OperatorTopic string
@@ -245,6 +248,9 @@
 			d.limits.sweep(time.Now())
 			d.ports.Metrics.Gauge("configuration_age_seconds").Update(d.view.ConfigurationAge().Seconds())
 			d.ports.Metrics.Gauge("registry_age_seconds").Update(d.view.RegistryAge().Seconds())
+			if mixed := d.ports.MixedConnections; mixed != nil {
+				d.ports.Metrics.Gauge("mixed_connections").Update(float64(mixed()))
+			}
 			for pool, age := range d.service.OutlookAges() {
 				d.ports.Metrics.Tagged(map[string]string{"pool": pool}).Gauge("outlook_age_seconds").Update(age.Seconds())
 			}
