An unanswered identification costs less contact

A connection ends with an order that gets no answer, and the next one has to be identified. Where instances leave half of the orders unanswered, a poll then needed two answers in a row, and an order was given up after one poll without an answer.

A poll that renews, acknowledges and waits for nothing is sent without identification; without contact polls acknowledge nothing, so they are of that kind.

--- a/internal/owner/bound_orders_test.go
+++ b/internal/owner/bound_orders_test.go
@@ -218,3 +218,19 @@
 		}))
 	})
 }
+
+// Guards against a lost contact that is found again late: a poll that acknowledges needs two
+// answers on a new connection.
+func TestPollWithoutContactAcknowledges(t *testing.T) {
+	is := is.New(t)
+	u := peakUnit(1, 0, 0)
+	u.Clock = func() time.Duration { return time.Minute }
+	u.Holds = func(ownership.Tenure) bool { return true }
+	sess := u.sessions["i-0"]
+	sess.polledIncarnation = 1
+	sess.clock.Store(&clockReading{incarnation: 1})
+	next := ackCursor{incarnation: 1, recorded: 7}
+	is.Equal(sess.nextPollCall(next).Acknowledged, int64(7))
+	sess.outOfContact.Store(true)
+	is.Equal(sess.nextPollCall(next), instance.Poll{Incarnation: 1})
+}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -52,14 +52,16 @@
 // has, it only raises the fence and asks for the listing.
 func (s *session) nextPollCall(next ackCursor) instance.Poll {
 	poll := instance.Poll{Incarnation: s.polledIncarnation, Fence: s.unit.tenure.Epoch}
-	if next.incarnation == s.polledIncarnation && next.recorded > s.lastAcknowledged {
-		poll.Acknowledged = next.recorded
-	}
 	if s.outOfContact.Load() {
 		// While contact is lost, no poll may extend the lease: its answer may get
-		// lost, and each try would put off the expiries.
+		// lost, and each try would put off the expiries. One that acknowledges nothing
+		// either needs a single answer on a new connection, not a second one after that
+		// which identifies it.
 		return poll
 	}
+	if next.incarnation == s.polledIncarnation && next.recorded > s.lastAcknowledged {
+		poll.Acknowledged = next.recorded
+	}
 	// The poll goroutine stores the clock with polledIncarnation, so it is that one's.
 	if lease, err := s.extendLease(s.polledIncarnation); err == nil && lease > 0 {
 		poll.Lease, poll.Wait = lease, cmp.Or(next.wait, pollWait)
