A suspended owner extends no lease past its tenure

Callers could see two runs of a task: a sender or poll that was suspended between the check of the tenure and the reading of the clock, as by SIGSTOP, computed a lease from the later time. It lay past the end of the tenure by up to the length of the suspension, while a successor that can't reach the instance counts on takenOverAt + Grace + 6.24 s. In the same way the lease was extended past the recorded expiry of a lost contact.

The clock is now read first, and the tenure and the contact are checked after that and after the expiries were moved. So a lease that is granted was computed within the tenure; and either the check sees the lost contact, or its record sees the moved expiry.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -97,6 +97,9 @@
 	adviceQueries int
 	pacePercents  []int
 	transit       transit
+	// suspension is how long the caller of the next check of the tenure is suspended once it
+	// has the result.
+	suspension time.Duration
 }
 
 // startOwner starts an owner of testUnit with an epoch.
@@ -146,9 +149,19 @@
 }
 
 func (d *daemon) holds() bool {
+	d.mu.Lock()
+	held, suspension := d.held, d.suspension
+	d.suspension = 0
+	d.mu.Unlock()
+	time.Sleep(suspension)
+	return held
+}
+
+// suspendNextCheck suspends the caller of the next check of the tenure.
+func (d *daemon) suspendNextCheck(suspension time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held
+	d.suspension = suspension
 }
 
 // sole reports whether the daemon's tenure was confirmed recently.
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -42,8 +42,9 @@
 }
 
 // extendLease returns the time, by the clock of an incarnation, to extend its lease to, and
-// moves the expiries accordingly. It returns 0 while the instance's clock isn't known, and
-// ErrRestarted if the known clock is another incarnation's. It is safe for concurrent use.
+// moves the expiries accordingly. It returns 0 while the instance's clock isn't known,
+// ErrRestarted if the known clock is another incarnation's, and ErrUnsent if the lease must
+// not be extended. It is safe for concurrent use.
 func (s *session) extendLease(incarnation int64) (time.Duration, error) {
 	reading := s.clock.Load()
 	switch {
@@ -52,16 +53,33 @@
 	case reading.incarnation != incarnation:
 		return 0, errors.Wrap(instance.ErrRestarted, "the clock read last is another incarnation's")
 	}
-	s.extensions.Add(1)
 	now := s.unit.Clock()
 	putOff(&s.leaseExpiry, now+s.unit.leaseUpperBound())
 	if incarnation == 0 {
 		putOff(&s.unboundExpiry, now+maxOrderTransit+s.unit.longestLease())
 	}
+	// Checked after the clock was read and the expiries were moved: a goroutine that was
+	// suspended before has a lease from within its tenure, and one that isn't refused here has
+	// moved the expiries before a lost contact can be recorded with them.
+	if reason := s.extensionForbidden(); reason != "" {
+		return 0, errors.Wrap(instance.ErrUnsent, reason)
+	}
+	s.extensions.Add(1)
 	elapsed := time.Duration(float64(now-reading.at) * minClockRate)
 	return reading.clock + elapsed + s.unit.leaseTerm(), nil
 }
 
+// extensionForbidden returns why the lease must not be extended, or "".
+func (s *session) extensionForbidden() string {
+	switch {
+	case !s.unit.holds():
+		return "the tenure isn't confirmed"
+	case s.outOfContact.Load():
+		return "the instance is out of contact"
+	}
+	return ""
+}
+
 // putOff moves an expiry to a time unless it is later already: a sender that was held up
 // between reading the clock and here must not bring it forward.
 func putOff(expiry *atomic.Int64, to time.Duration) {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -216,11 +216,11 @@
 
 // withholdReason returns why an order must not be sent now, or "".
 func (s *session) withholdReason(o order) string {
-	switch {
-	case !s.unit.holds():
+	if o.carriesLease {
+		return s.extensionForbidden()
+	}
+	if !s.unit.holds() {
 		return "the tenure isn't confirmed"
-	case o.carriesLease && s.outOfContact.Load():
-		return "the instance is out of contact"
 	}
 	return ""
 }
