A recorded loss of contact forbids extensions of leases

The deletion of a former loss may be confirmed between a failed poll and its handling. It allowed extensions again, and the next loss was recorded beside that: one more poll then extended the lease past the recorded expiry, which used up to 1.7 s of the margin of 3 s for the wall clocks of daemons (by reading; no test shows two runs).

--- FAIL: TestRecordedLossForbidsExtensions suspension_test.go:101: not true: sess.outOfContact.Load()

--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -69,6 +69,8 @@
 	sess.unreachable = true
 	if !sess.lossRecorded && len(sess.runs) > 0 {
 		sess.lossRecorded = true
+		// The deletion of a former record may have allowed extensions since the poll failed.
+		sess.outOfContact.Store(true)
 		left := sess.lastExpiry() - u.Clock()
 		u.recordLoss(sess, &contactLoss{LapsedBy: now.Add(left).UnixMilli()})
 	}
--- a/internal/owner/suspension_test.go
+++ b/internal/owner/suspension_test.go
@@ -78,3 +78,27 @@
 		})
 	}
 }
+
+// Guards against leases that are extended past the recorded expiry of a lost contact: the
+// deletion of the former loss is confirmed between a failed poll and its handling, and
+// allows extensions again.
+func TestRecordedLossForbidsExtensions(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		c.instances["i-0"].duration = time.Hour
+		d := c.startOwner(64)
+		c.submit(jobA, longStep(1))
+		time.Sleep(500 * time.Millisecond)
+		is.NoErr(d.unit.do(c.ctx, func() {
+			sess := d.unit.sessions["i-0"]
+			sess.lossRecorded = true
+			d.unit.regain(sess, time.Now())
+			sess.outOfContact.Store(true) // by the goroutine whose poll fails
+			for _, effect := range d.unit.commit.effects {
+				effect()
+			}
+			d.unit.onPollFailed(sess, instance.ErrUnknown, time.Now())
+			is.True(sess.lossRecorded)
+			is.True(sess.outOfContact.Load())
+		}))
+	})
+}
