Failing test: a bound run under a lease that an earlier version has extended

A lease is that of all runs at an instance. While owners of an earlier version are being replaced: the instance restarts, an order of the earlier version extends the lease by the former clock to the longest one (10 s), the successor takes over, starts a task there and loses contact. The run is bound, so it counts until takenOverAt + Grace + 6.24 s; the lease there lasts for up to 10.2 s from the last order of the earlier version, which can be carried out until the successor's first poll. unboundExpiry holds that time, but expiry heeds it for runs that aren't bound alone.

--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -225,3 +225,34 @@
 		})
 	}
 }
+
+// Guards against the short lease for a run that its own owner has started and bound, at an
+// incarnation whose lease an owner of an earlier version has extended by the clock of the
+// former one: the lease is that of all runs there.
+func TestLeaseExtendedByAnEarlierVersionHoldsForBoundRuns(t *testing.T) {
+	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
+		for _, i := range c.instances {
+			i.duration = time.Hour
+		}
+		former := c.startOwner(64)
+		former.setUnbound()
+		former.setUnreachable("i-1", true)
+		time.Sleep(10 * time.Second)
+		c.instances["i-0"].restart()
+		c.submit(jobB, longStep(1))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(c.startsAt("i-0"), 1) // by the clock of the former incarnation
+		former.setHeld(false)
+		c.storeAsEarlierVersion(jobB)
+		successor := c.startOwner(128)
+		successor.setUnreachable("i-1", true)
+		time.Sleep(300 * time.Millisecond)
+		c.submit(jobA, longStep(1))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(c.startsAt("i-0"), 2)
+		successor.setUnreachable("i-0", true)
+		successor.setUnreachable("i-1", false)
+		checkNoOverlap(c, is, 20*time.Second)
+		is.Equal(len(c.startsOf(jobA)), 2)
+	})
+}
