Failing test: answers without an incarnation end an unanswered run

An answer to a poll that lacks the incarnation makes a repeated start fail with ErrRestarted, from extendLease or from the client's identification. That ends a bound run as if its incarnation were gone, but nothing shows a restart: the first try can still be carried out by the same process.

--- FAIL: TestAnswersWithoutAnIncarnationEndNoUnansweredRun owner_test.go:165: i-1 != i-0 // a task runs twice

--- a/internal/owner/bound_orders_test.go
+++ b/internal/owner/bound_orders_test.go
@@ -218,3 +218,39 @@
 		}))
 	})
 }
+
+// Guards against a second run of a task whose instance tells no incarnation for a while: the
+// repeated start isn't sent then, but the first try, which got no answer, is carried out
+// later by the same process.
+func TestAnswersWithoutAnIncarnationEndNoUnansweredRun(t *testing.T) {
+	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
+		i := c.instances["i-0"]
+		setIncarnation := func(incarnation int64) {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.incarnation = incarnation
+		}
+		d := c.startOwner(64)
+		d.setUnreachable("i-1", true)
+		i.outcome = job.EndFailed // so that i-1 is preferred
+		i.setDuration(50 * time.Millisecond)
+		c.submit(jobB, smallStep(1))
+		time.Sleep(time.Second)
+		is.Equal(d.state(jobB), job.Failed)
+		for _, other := range c.instances {
+			other.setDuration(time.Hour)
+		}
+		i.mu.Lock()
+		i.startDelay = 800 * time.Millisecond
+		incarnation, starts := i.incarnation, d.ordersSent(startOrder)
+		i.mu.Unlock()
+		c.submit(jobA, longStep(1))
+		d.awaitSent(startOrder, starts+1)
+		d.setUnreachable("i-1", false)
+		time.Sleep(100 * time.Millisecond)
+		setIncarnation(0)
+		time.AfterFunc(600*time.Millisecond, func() { setIncarnation(incarnation) })
+		checkNoOverlap(c, is, 5*time.Second)
+		is.Equal(c.startsAt("i-1"), 0)
+	})
+}
