Two cases in which a bound run could run twice

Found by review of the bound orders, each with a failing test there:

A lease is that of all runs at an instance. An owner of an earlier version can have extended it by the clock of a former incarnation to the longest one, and a successor counted on the short one for the runs that it had bound itself.

An answer that lacks the incarnation made a repeated start fail as if the instance had restarted, which ended a bound run whose first try could still be carried out. Such an answer shows no restart: the order counts as not sent.

Before: owner_test.go:165: i-0 != i-1 // a task runs twice, in TestLeaseExtendedByAnEarlierVersionHoldsForBoundRuns and TestAnswersWithoutAnIncarnationEndNoUnansweredRun.

--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -50,6 +50,9 @@
 	switch {
 	case reading == nil:
 		return 0, nil
+	case reading.incarnation == 0 && incarnation != 0:
+		// That shows no restart.
+		return 0, errors.Wrap(instance.ErrUnsent, "the clock read last is of an unknown incarnation")
 	case reading.incarnation != incarnation:
 		return 0, errors.Wrap(instance.ErrRestarted, "the clock read last is another incarnation's")
 	}
@@ -112,9 +115,10 @@
 
 // expiry returns when the lease of a run has expired at the latest, without further
 // extensions. A run that isn't bound may have been started by an incarnation whose lease
-// was extended by the clock of another one.
+// was extended by the clock of another one; after an owner of an earlier version that goes
+// for all runs, as the lease is that of the whole instance.
 func (s *session) expiry(r *run) time.Duration {
-	if r.bound {
+	if r.bound && !s.unit.succeedsUnbound {
 		return time.Duration(s.leaseExpiry.Load())
 	}
 	return time.Duration(max(s.leaseExpiry.Load(), s.unboundExpiry.Load()))
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -192,6 +192,7 @@
 			if t.Placement.Bound {
 				r.incarnation, r.bound = t.Placement.Incarnation, true
 			}
+			u.succeedsUnbound = u.succeedsUnbound || !t.Placement.Bound
 			sess.addRun(id, r)
 		})
 	}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -126,6 +126,9 @@
 	// earlyCancels holds the IDs of jobs whose cancellation was read before their
 	// submission.
 	earlyCancels map[string]bool
+	// succeedsUnbound: a former owner has started runs without binding them, as one of an
+	// earlier version does.
+	succeedsUnbound bool
 	// unreadable holds the IDs of accepted jobs of which a record can't be read, and
 	// whether tasks of them may have run.
 	unreadable map[string]bool
