A start that waits to be sent is withdrawn with its run

The queue isn't new, but identifying a connection makes it longer.

A sender now claims a start after the lease's expiry has moved, and the owner withdraws it when it ends or stops the run: one of the two wins. A stop isn't queued again while the last one waits: that made the queue longer still.

--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -141,7 +141,8 @@
 		}
 		var expired []job.TaskID
 		for id, r := range sess.runs {
-			if u.Clock() >= sess.expiry(r) {
+			// Withdrawing comes first: a start that is sent meanwhile has moved the expiry.
+			if u.Clock() >= sess.expiry(r) && (r.withdraw() || u.Clock() >= sess.expiry(r)) {
 				expired = append(expired, id)
 			}
 		}
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -148,6 +148,7 @@
 // endRun ends a recorded run.
 func (u *Unit) endRun(sess *session, id job.TaskID, how job.End, checkpoint string, now time.Time) {
 	r := sess.runs[id]
+	r.withdraw()
 	sess.removeRun(id)
 	sess.idleSince = now
 	u.planDue = true
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -27,6 +27,10 @@
 		u.endRun(sess, id, job.EndLost, "", time.Now())
 		return
 	}
+	if r.stopping {
+		u.sendStop(sess, id, r, "start outcome unknown")
+		return
+	}
 	start := instance.Start{
 		Incarnation: r.incarnation, Task: id, Run: r.number, Payload: e.job.Submission.Payload, Ticket: ticket, Fence: u.tenure.Epoch,
 	}
@@ -36,8 +40,9 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = time.Now()
 	}
+	r.dispatch.Store(startWaits)
 	sess.enqueue(order{
-		carriesLease: true, incarnation: r.incarnation,
+		carriesLease: true, incarnation: r.incarnation, starts: r, queuedAt: time.Now(),
 		send: func(ctx context.Context, at instance.Registration, lease time.Duration) error {
 			start.Lease = lease
 			return u.Instances.Start(ctx, at, start)
@@ -65,6 +70,11 @@
 		u.Logger.Warn("start.unanswered", zap.String("job", id.Job), zap.Int("run", r.number), zap.String("instance", sess.reg.ID), zap.Int("try", tries), zap.Error(err))
 		sess.countFailure(now)
 		u.retryStart(sess, id, r, ticket, tries+1)
+	case errors.Is(err, errWithdrawn) && tries == 0:
+		if !r.stopping {
+			sess.countFailure(now)
+		}
+		u.endRun(sess, id, job.EndLost, "", now)
 	case errors.Is(err, instance.ErrRestarted) && (r.bound || tries == 0):
 		sess.onRestarted(r.incarnation, now)
 		u.endWithIncarnation(sess, id, r, now)
@@ -94,8 +104,9 @@
 	if !r.stopping {
 		u.Logger.Info("run.stop", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index), zap.Int("run", r.number), zap.String("instance", sess.reg.ID), zap.String("reason", reason))
 	}
-	r.stopping = true
+	r.stopping, r.stopUnderWay = true, true
 	r.stopSentAt = time.Now()
+	r.withdraw()
 	stop := instance.Stop{Incarnation: r.incarnation, Task: id, Run: r.number, Fence: u.tenure.Epoch}
 	sess.enqueue(order{
 		send: func(ctx context.Context, at instance.Registration, _ time.Duration) error {
@@ -106,6 +117,7 @@
 }
 
 func (u *Unit) onStopped(sess *session, id job.TaskID, r *run, err error) {
+	r.stopUnderWay = false
 	if sess.runs[id] != r {
 		return
 	}
@@ -129,7 +141,7 @@
 			continue
 		}
 		for id, r := range sess.runs {
-			if r.stopping && now.Sub(r.stopSentAt) > stopResendInterval {
+			if r.stopping && !r.stopUnderWay && now.Sub(r.stopSentAt) > stopResendInterval {
 				u.sendStop(sess, id, r, "")
 			}
 		}
@@ -189,6 +201,7 @@
 			// The run counts as resolved: the first poll raises the fence, so no start
 			// of a former owner can be carried out after it.
 			r := &run{number: t.Run, need: step.Allocation(), step: step, resolvedAt: now, stopping: !e.job.Active(), pacePercent: fullPace}
+			r.dispatch.Store(startSent) // or never, if its owner had no time for it
 			if t.Placement.Bound {
 				r.incarnation, r.bound = t.Placement.Incarnation, true
 			}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -33,6 +33,9 @@
 	// maxStartAttempts bounds the attempts of an unanswered start; then it is stopped.
 	maxStartAttempts = 3
 	startRetryDelay  = 50 * time.Millisecond
+	// maxStartWait is how long a start may wait to be sent, behind orders that get no answer:
+	// well within a lease.
+	maxStartWait = leaseTarget / 2
 	// stopResendInterval is how often a stop is repeated until the end is listed.
 	stopResendInterval = 400 * time.Millisecond
 )
@@ -137,23 +140,49 @@
 	// incarnation is the one that orders for the run are meant for; 0 for any.
 	incarnation int64
 	// bound: its starts were sent to that incarnation alone.
-	bound       bool
-	stopping    bool
-	stopSentAt  time.Time
-	startedAt   time.Time
-	percent     int
-	percentAt   time.Time
-	pacePercent int
+	bound      bool
+	stopping   bool
+	stopSentAt time.Time
+	// stopUnderWay: a stop waits to be sent or for its answer.
+	stopUnderWay bool
+	startedAt    time.Time
+	percent      int
+	percentAt    time.Time
+	pacePercent  int
+	// dispatch is what has become of its newest start.
+	dispatch atomic.Int32
 }
 
+// The values of run.dispatch. A sender and the unit's goroutine race for a start that waits.
+const (
+	startWaits int32 = iota
+	startSent
+	startWithdrawn
+)
+
+// errWithdrawn means that a start wasn't sent, since its run was given up or stopped or it
+// had waited for too long.
+var errWithdrawn = errors.New("the start was withdrawn")
+
+// withdraw keeps the run's start from being sent. It returns false if it has been.
+func (r *run) withdraw() bool {
+	return r.dispatch.CompareAndSwap(startWaits, startWithdrawn) || r.dispatch.Load() == startWithdrawn
+}
+
+// claim reports whether the run's start may be sent.
+func (r *run) claim() bool { return r.dispatch.CompareAndSwap(startWaits, startSent) }
+
 // order is a start, stop or pace request to an instance. done handles its
 // result on the unit's goroutine.
 type order struct {
 	carriesLease bool
 	// incarnation is the one whose lease it carries; 0 if the instance tells none.
 	incarnation int64
-	send        func(ctx context.Context, at instance.Registration, lease time.Duration) error
-	done        func(error)
+	// starts is the run that it starts, since queuedAt; nil for other orders.
+	starts   *run
+	queuedAt time.Time
+	send     func(ctx context.Context, at instance.Registration, lease time.Duration) error
+	done     func(error)
 }
 
 func (u *Unit) newSession(reg instance.Registration, listed bool) *session {
@@ -198,6 +227,13 @@
 }
 
 func (s *session) sendOrder(o order) {
+	if o.starts != nil && time.Since(o.queuedAt) > maxStartWait {
+		o.starts.withdraw()
+	}
+	if o.starts != nil && o.starts.dispatch.Load() == startWithdrawn {
+		s.unit.post(func() { o.done(errWithdrawn) })
+		return
+	}
 	if reason := s.withholdReason(o); reason != "" {
 		s.unit.post(func() { o.done(errors.Wrap(instance.ErrUnsent, reason)) })
 		return
@@ -210,6 +246,11 @@
 			return
 		}
 	}
+	// The expiry has moved by now: whoever finds the start sent sees the later one.
+	if o.starts != nil && !o.starts.claim() {
+		s.unit.post(func() { o.done(errWithdrawn) })
+		return
+	}
 	err := o.send(s.ctx, *s.target.Load(), lease)
 	s.unit.post(func() { o.done(err) })
 }
