The soak restarts instances and cuts them off in series

Users saw two runs of one task while all instances of a service in a data centre restarted under their IDs and were cut off soon after, by turns, with long tasks running. The soak did so once, at one instance.

Instances and daemons now have data centres. Rounds restart the instances of one or both pools in a data centre, in silence or with refused connections, and cut them off 0.5 to 3 s later for 7 to 10 s, also one way; some restart once more behind the cut, take starts late, or lose the unit's owner to SIGKILL or SIGSTOP. Three callers submit long tasks for these instances meanwhile. An open connection ends once something is sent on it after a restart, and a proxy has a cut beside the mode of other faults. New judges count the ends acknowledged to a restarted instance and the runs under way at one that is cut off.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -212,11 +212,14 @@
 	return id
 }
 
-// endAcknowledged records that the end of a done task was acknowledged.
-func (c *checker) endAcknowledged(id job.TaskID) {
+// endAcknowledged records that the end of a done task was acknowledged to an instance.
+func (c *checker) endAcknowledged(at *instance, id job.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.exercised[judgeAcked]++
+	if at.restarts > 1 {
+		c.counts.exercised[judgeAckedAfterRestart]++
+	}
 	if c.acknowledgedAt[id].IsZero() {
 		c.acknowledgedAt[id] = time.Now()
 	}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -25,10 +25,6 @@
 // concerns it.
 const drainingInstance = 0
 
-// restartCutInstance is the index of the instance of restartAndCut; no other fault
-// concerns it.
-const restartCutInstance = 5
-
 // drainAfter is when it begins to drain.
 const drainAfter = time.Second
 
@@ -48,7 +44,8 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	wg.Go(func() { h.restartAndCut(ctx) })
+	var rounds []string
+	wg.Go(func() { rounds = h.restartsInSeries(ctx) })
 	for ctx.Err() == nil {
 		f := h.drawFault(random)
 		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
@@ -57,7 +54,7 @@
 		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
-	return schedule
+	return append(schedule, rounds...)
 }
 
 func (h *harness) inject(ctx context.Context, f fault, duration time.Duration) {
@@ -104,7 +101,7 @@
 			i.mu.Lock()
 			runs := len(i.runs)
 			i.mu.Unlock()
-			if n == restartCutInstance || runs <= endsPerListing {
+			if runs <= endsPerListing {
 				continue
 			}
 			h.instanceProxies[n].set(silent)
@@ -125,10 +122,7 @@
 // drawFault draws a fault. The order and number of the draws fix a seed's schedule.
 func (h *harness) drawFault(random *rand.Rand) fault {
 	d := h.daemons[random.IntN(len(h.daemons))]
-	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-2)
-	if n >= restartCutInstance {
-		n++
-	}
+	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-1)
 	modes := []mode{slow, silent, oneWay, reset}
 	m := modes[random.IntN(len(modes))]
 	lost := random.Uint64()
@@ -243,12 +237,8 @@
 			instanceProxy.set(reset)
 			i.mu.Lock()
 			before = i.restarts
-			kind := 0
-			if (i.cpu == kindCPUs[0]) == otherKind {
-				kind = 1
-			}
 			i.mu.Unlock()
-			i.restart(kind)
+			i.restart(i.kind(otherKind))
 		},
 		effect: func() bool {
 			i.mu.Lock()
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,10 +26,11 @@
 	unitCount     = 6
 	recordBytes   = 262_144
 	callBytes     = 2_097_152
-	// entryDelay is how long a change at an instance takes until its entry shows it.
-	entryDelay = 300 * time.Millisecond
 )
 
+// zones are the data centres.
+var zones = []string{"z0", "z1", "z2"}
+
 // harness holds one seed's daemon processes and the simulated store and instances.
 type harness struct {
 	seed     uint64
@@ -43,8 +45,9 @@
 	instances   []*instance
 	// instanceProxies holds the proxy in front of each instance.
 	instanceProxies []*proxy
-	// restartCaller submits the jobs of restartAndCut.
-	restartCaller *caller
+	// longCallers submit the jobs of restartsInSeries.
+	longCallersMu sync.Mutex
+	longCallers   []*caller
 	cancel        context.CancelFunc
 }
 
@@ -98,7 +101,7 @@
 
 // addInstance starts an instance with a proxy and lists it in the store.
 func (h *harness) addInstance(n int, all *gangs, runTime time.Duration) error {
-	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], runTime: runTime}
+	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], zone: zones[n/2%len(zones)], runTime: runTime}
 	i.restart(n / 2 % len(kindCPUs))
 	address, err := serveLocal(i.handler(), i.connContext)
 	if err != nil {
@@ -147,7 +150,7 @@
 func (h *harness) settings(n int, storeAddress string) fleetd.Settings {
 	listen := h.listenAddresses(n, "callers", "readiness", "peers", "operations", "machines")
 	return fleetd.Settings{
-		Instance: fmt.Sprintf("d-%d", n), DataCentre: "z", Callers: listen["callers"], Readiness: listen["readiness"],
+		Instance: fmt.Sprintf("d-%d", n), DataCentre: zones[n%len(zones)], Callers: listen["callers"], Readiness: listen["readiness"],
 		Peers: listen["peers"], Operations: listen["operations"], Store: storeAddress, Machines: listen["machines"],
 		Units: unitCount, MemoryMB: 256, ProcessorShare: 1, DutiesPerSecond: 64, ListsPerSecond: 64,
 		RecordBytes: recordBytes, CallBytes: callBytes,
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -15,9 +15,6 @@
 
 const (
 	maxLeaseMS = 10_000
-	// firstClockMS is where the clock of an instance's first incarnation starts, and
-	// restartClockMS how much lower that of the next one does.
-	firstClockMS, restartClockMS = 10_000_000, 60_000
 	// pollInterval is how often run times, leases and pending hold calls are
 	// checked.
 	pollInterval = 5 * time.Millisecond
@@ -25,13 +22,6 @@
 	endsPerListing = 500
 )
 
-// The kinds of instances: what they have, and the label that tasks may require. A
-// restarted instance may be of another kind.
-var (
-	labels   = []string{"a", "b"}
-	kindCPUs = []int{8000, 4000}
-)
-
 // instance simulates an instance of the platform: it runs tasks under a fencing
 // token, a lease and run numbers.
 type instance struct {
@@ -39,6 +29,7 @@
 	gangs   *gangs
 	id      string
 	pool    string
+	zone    string
 	// address is that of the proxy in front of the instance.
 	address string
 	mu      sync.Mutex
@@ -47,8 +38,10 @@
 	label string
 	// drainingSince is when the instance reported that it drains; zero if it doesn't.
 	drainingSince time.Time
-	// startedAt is the start of the current incarnation.
+	// startedAt is the start of the current incarnation, and listed whether it has
+	// answered a hold call.
 	startedAt time.Time
+	listed    bool
 	// fence is the highest fencing token of an admitted call.
 	fence int64
 	// leaseUntil is when the lease expires, in ms of clockMS.
@@ -66,9 +59,9 @@
 	// startDelay, if not zero, leaves starts unanswered and executes them this much
 	// later.
 	startDelay time.Duration
-	// delayed counts the starts that were left unanswered, restarts the restarts, lapsed
-	// the runs that ended with their lease.
-	delayed, restarts, lapsed int
+	// delayed counts the starts that were left unanswered, restarts the restarts, early
+	// the runs that started before their incarnation had answered a hold call.
+	delayed, restarts, early int
 	// holds counts the hold calls.
 	holds int
 }
@@ -78,6 +71,8 @@
 	run       int
 	plan      *jobPlan
 	startedAt time.Time
+	// how is how the run has ended.
+	how job.End
 }
 
 func (r *taskRun) step() *stepPlan { return &r.plan.steps[r.id.Step] }
@@ -102,42 +97,6 @@
 type runEnd struct {
 	number int64
 	*taskRun
-	how job.End
-}
-
-// restart loses all runs and state and starts a new incarnation of a kind under the
-// same name.
-func (i *instance) restart(kind int) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, r := range i.runs {
-		i.checker.ended(i, r, job.EndLost)
-		i.gangs.left(r, job.EndLost)
-	}
-	i.cpu, i.label, i.drainingSince = kindCPUs[kind], labels[kind], time.Time{}
-	i.startedAt, i.fence, i.leaseUntil, i.lastEnd = time.Now(), 0, 0, 0
-	i.runs, i.lastRun, i.unackedEnds = map[job.TaskID]*taskRun{}, map[job.TaskID]int{}, nil
-	i.restarts++
-}
-
-func (i *instance) rack() string { return "rack-" + i.id }
-
-// entry returns the instance's entry of the registry.
-func (i *instance) entry() []byte {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	state := "ready"
-	if !i.drainingSince.IsZero() {
-		state = "draining"
-	}
-	data, err := json.Marshal(map[string]any{
-		"service": i.pool, "address": i.address, "zone": "z", "state": state, "labels": []string{i.label, i.rack()},
-		"capacity": map[string]int{"cpu": i.cpu, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
-	})
-	if err != nil {
-		panic(err) // strings and numbers can be encoded
-	}
-	return data
 }
 
 // usedCPU returns what the runs use. The caller holds i.mu.
@@ -149,19 +108,12 @@
 	return used
 }
 
-// clockMS returns the instance's monotonic clock in milliseconds. That of each incarnation
-// starts lower, as after a long life of the former one.
-func (i *instance) clockMS() int64 {
-	return firstClockMS - int64(i.restarts)*restartClockMS + time.Since(i.startedAt).Milliseconds()
-}
-
 // endDueRuns ends the runs whose lease has expired or whose run time is over. The
 // caller holds i.mu.
 func (i *instance) endDueRuns() {
 	for _, r := range i.runs {
 		switch {
 		case i.clockMS() > i.leaseUntil:
-			i.lapsed++
 			i.end(r, job.EndLapsed)
 		case r.step().gang:
 			if how := i.gangs.end(r, i.runTime); how != "" {
@@ -176,7 +128,8 @@
 func (i *instance) end(r *taskRun, how job.End) {
 	delete(i.runs, r.id)
 	i.lastEnd++
-	i.unackedEnds = append(i.unackedEnds, runEnd{number: i.lastEnd, taskRun: r, how: how})
+	r.how = how
+	i.unackedEnds = append(i.unackedEnds, runEnd{number: i.lastEnd, taskRun: r})
 	i.gangs.left(r, how)
 	i.checker.ended(i, r, how)
 	if how == job.EndFailed {
@@ -304,6 +257,9 @@
 	}
 	r := &taskRun{id: id, run: o.Run, plan: plan, startedAt: time.Now()}
 	i.lastRun[id], i.runs[id] = o.Run, r
+	if !i.listed {
+		i.early++
+	}
 	i.gangs.joined(r)
 	i.checker.started(i, id, o.Run, o.Spec)
 	return ""
@@ -364,7 +320,7 @@
 		case e.number > cursor:
 			kept = append(kept, e)
 		case e.how == job.EndDone:
-			i.checker.endAcknowledged(e.id)
+			i.checker.endAcknowledged(i, e.id)
 		case e.how == job.EndFailed:
 			i.checker.failed(e.id, e.run, true)
 		}
@@ -377,6 +333,7 @@
 		i.refuse(w, "fence")
 		return
 	}
+	i.listed = true
 	running, ended := [][]any{}, [][]any{}
 	for id, r := range i.runs {
 		running = append(running, []any{platform.TaskName(id), r.run, "", int(100 * time.Since(r.startedAt) / r.duration(i.runTime)), r.step().cpu})
--- a/tools/soak/jobs.go
+++ b/tools/soak/jobs.go
@@ -28,7 +28,7 @@
 type jobKind string
 
 // The kinds. Each seed submits all but large and limit ones; pastLease is that of
-// restartAndCut.
+// restartsInSeries.
 const (
 	plain     jobKind = "plain"
 	manyEnds  jobKind = "many ends"
--- a/tools/soak/judges.go
+++ b/tools/soak/judges.go
@@ -30,11 +30,17 @@
 	judgeDrain     judge = "nothing starts at a draining instance"
 	judgeKey       judge = "a withdrawn key is refused"
 	judgeEnds      judge = "accepted jobs end"
+	// judgeAckedAfterRestart is judgeAcked for ends that a later incarnation than the
+	// first listed, judgeRestarted judgeOneRun for runs that were under way at a restarted
+	// instance when it was cut off.
+	judgeAckedAfterRestart judge = "no run after an end acknowledged to a restarted instance"
+	judgeRestarted         judge = "one run across restarts"
 )
 
 var allJudges = []judge{
 	judgeOneRun, judgeAcked, judgeRefused, judgeCancelled, judgeOrder, judgeDue, judgeCapacity, judgeLabel, judgePerServer,
 	judgeTeam, judgeAttempts, judgeStates, judgeKnown, judgeRepeated, judgeMoved, judgeDrain, judgeKey, judgeEnds,
+	judgeAckedAfterRestart, judgeRestarted,
 }
 
 // Floors of a seed's work, below which it has shown nothing.
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -165,6 +165,9 @@
 	}
 	time.Sleep(startupTime)
 	schedule := h.disturb(o, random)
+	if err := os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(strings.Join(schedule, "\n")+"\n"), 0o600); err != nil {
+		h.checker.report("%s", err)
+	}
 	violations, n := h.checker.result()
 	if unfinished := h.checker.unfinished(); len(unfinished) > 0 {
 		// The stacks that SIGQUIT writes to the logs show whether a daemon is stuck.
@@ -203,12 +206,10 @@
 		}
 		wg.Go(func() { c.run(working, first) })
 	}
-	h.restartCaller = newCaller(h, h.seed, callerCount)
-	all = append(all, h.restartCaller)
 	schedule := h.injectFaults(ctx, random)
 	stop()
 	wg.Wait()
-	h.settle(all, o.settle)
+	h.settle(append(all, h.longCallers...), o.settle)
 	all[0].checkWithdrawnKey()
 	return schedule
 }
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -42,6 +42,8 @@
 	target   string
 	mu       sync.Mutex
 	mode     mode
+	// cutMode, unless it is pass, takes the place of mode.
+	cutMode mode
 	// conns holds the open connections; those that are stranded have the value false.
 	conns map[net.Conn]bool
 	// darkUntil is until when new connections get no answer; they are closed then.
@@ -65,6 +67,14 @@
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.effective()
+}
+
+// effective returns the mode in force. The caller holds p.mu.
+func (p *proxy) effective() mode {
+	if p.cutMode != pass {
+		return p.cutMode
+	}
 	return p.mode
 }
 
@@ -81,24 +91,34 @@
 	p.affected[m]++
 }
 
-// set changes the mode. It closes the connections that held data back, so that
-// these data are lost.
-func (p *proxy) set(m mode) {
+// set changes the mode.
+func (p *proxy) set(m mode) { p.change(func() { p.mode = m }) }
+
+// cut puts another mode in place of the one that is set, until it is pass.
+func (p *proxy) cut(m mode) { p.change(func() { p.cutMode = m }) }
+
+// change changes a mode. It closes the connections that held data back, so that these
+// data are lost.
+func (p *proxy) change(do func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m == reset || p.mode == silent || p.mode == oneWay {
-		for c := range p.conns {
-			_ = c.Close()
-			if m == reset {
-				p.affected[m]++
-			}
+	before := p.effective()
+	do()
+	after := p.effective()
+	if after != reset && (before == after || before != silent && before != oneWay) {
+		return
+	}
+	for c := range p.conns {
+		_ = c.Close()
+		if after == reset {
+			p.affected[after]++
 		}
 	}
-	p.mode = m
 }
 
-// strand leaves the data of all open connections without an answer until these are
-// closed. New connections pass after a time, as to a target that restarts in silence.
+// strand ends the target's part in all open connections: they get no answer any more, and
+// after a time those are closed that send something, as by a target that restarts in
+// silence. Connections that are opened before that time get no answer either.
 func (p *proxy) strand(dark time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -116,16 +136,36 @@
 	return open && !passes
 }
 
+// passes reports whether a connection is open and not stranded.
+func (p *proxy) passes(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
+// dark returns for how much longer the target is silent.
+func (p *proxy) dark() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Until(p.darkUntil)
+}
+
 // setIfPassing sets a mode unless another one is set.
 func (p *proxy) setIfPassing(m mode) {
-	if p.currentMode() == pass {
+	p.mu.Lock()
+	passes := p.mode == pass
+	p.mu.Unlock()
+	if passes {
 		p.set(m)
 	}
 }
 
 // unset ends a mode, unless another one has replaced it.
 func (p *proxy) unset(m mode) {
-	if p.currentMode() == m {
+	p.mu.Lock()
+	inForce := p.mode == m
+	p.mu.Unlock()
+	if inForce {
 		p.set(pass)
 	}
 }
@@ -146,10 +186,7 @@
 		p.countAffected(reset)
 		return
 	}
-	p.mu.Lock()
-	dark := time.Until(p.darkUntil)
-	p.mu.Unlock()
-	if dark > 0 {
+	if dark := p.dark(); dark > 0 {
 		time.Sleep(dark)
 		return
 	}
@@ -162,13 +199,20 @@
 	p.track(server, true)
 	defer p.track(client, false)
 	defer p.track(server, false)
-	done := make(chan struct{}, 2)
-	go p.forward(server, client, func(m mode) bool { return m == silent }, done)
-	go p.forward(client, server, func(m mode) bool { return m == silent || m == oneWay }, done)
-	<-done
-	// A stranded caller isn't told that the target has closed the connection.
-	for p.stranded(client) && len(done) == 0 {
-		time.Sleep(holdPollInterval)
+	sent, answered := make(chan struct{}), make(chan struct{})
+	go p.forward(server, client, func(m mode) bool {
+		return m == silent || p.stranded(client) && p.dark() > 0
+	}, sent)
+	go p.forward(client, server, func(m mode) bool {
+		return m == silent || m == oneWay || p.stranded(server)
+	}, answered)
+	select {
+	case <-sent:
+	case <-answered:
+		// A stranded caller isn't told that the target has closed the connection.
+		if p.stranded(client) {
+			<-sent
+		}
 	}
 }
 
@@ -184,9 +228,9 @@
 }
 
 // forward copies data from one connection to another, and waits while the mode
-// holds that direction back.
+// holds that direction back. What waits as the connection is stranded is lost.
 func (p *proxy) forward(to, from net.Conn, held func(mode) bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+	defer close(done)
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -200,9 +244,12 @@
 		if m == slow {
 			time.Sleep(slowDelay)
 		}
-		for held(p.currentMode()) || p.stranded(from) {
+		for held(p.currentMode()) {
 			time.Sleep(holdPollInterval)
 		}
+		if !p.passes(from) {
+			return
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
--- a/tools/soak/restarts.go
+++ b/tools/soak/restarts.go
@@ -1,101 +1,111 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"math/rand/v2"
-	"net/http"
+	"encoding/json"
 	"time"
 
-	"github.com/beryltide/beryltide/internal/pause"
+	"github.com/beryltide/beryltide/internal/job"
 )
 
 const (
-	// restartCutKind is the kind of the fault of restartAndCut.
-	restartCutKind = "restart and cut"
-	// restartCutAfter leaves the daemons time to take their units.
-	restartCutAfter = 2 * time.Second
-	// pastLeaseTime is longer than an instance works without contact: the longest lease
-	// after a start that was repeated once.
-	pastLeaseTime = maxLeaseMS*time.Millisecond + 2*time.Second
-	// restartTime is longer than the 300 ms for which an owner takes it that no instance
-	// has restarted since its last answer.
-	restartTime = 400 * time.Millisecond
-	// startTimeout is how long a start at a restarted instance is waited for.
-	startTimeout = 1500 * time.Millisecond
+	// firstClockMS is where the clock of an instance's first incarnation starts, and
+	// restartClockMS how much lower that of the next one does.
+	firstClockMS, restartClockMS = 10_000_000, 60_000
+	// entryDelay is how long a change at an instance takes until its entry shows it.
+	entryDelay = 300 * time.Millisecond
 )
 
-// restartAndCut restarts an instance whose connections get no answer any more, lets a
-// task start there before its owner has noticed, and cuts the instance off until the
-// lease of the task is over. The order of the start extends that lease by the clock of
-// the former incarnation.
-func (h *harness) restartAndCut(ctx context.Context) {
-	h.checker.drew(restartCutKind)
-	random := rand.New(rand.NewPCG(h.seed, 2))
-	c := h.restartCaller
-	pause.For(ctx, restartCutAfter)
-	for end := time.Now().Add(2 * effectTimeout); time.Now().Before(end); {
-		if h.restartAndStart(c) {
-			pause.For(context.Background(), time.Duration(random.Int64N(int64(2*time.Second))))
-			h.instanceProxies[restartCutInstance].set(silent)
-			lapsed := h.lapseWithoutContact()
-			h.instanceProxies[restartCutInstance].unset(silent)
-			if lapsed {
-				h.checker.tookEffect(restartCutKind)
-				return
-			}
-		}
+// The kinds of instances: what they have, and the label that tasks may require. A
+// restarted instance may be of another kind.
+var (
+	labels   = []string{"a", "b"}
+	kindCPUs = []int{8000, 4000}
+)
+
+// restart loses all runs and state and starts a new incarnation of a kind under the
+// same name.
+func (i *instance) restart(kind int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range i.runs {
+		r.how = job.EndLost
+		i.checker.ended(i, r, job.EndLost)
+		i.gangs.left(r, job.EndLost)
 	}
+	i.cpu, i.label, i.drainingSince = kindCPUs[kind], labels[kind], time.Time{}
+	i.startedAt, i.listed, i.fence, i.leaseUntil, i.lastEnd = time.Now(), false, 0, 0, 0
+	i.runs, i.lastRun, i.unackedEnds = map[job.TaskID]*taskRun{}, map[job.TaskID]int{}, nil
+	i.restarts++
 }
 
-// restartAndStart restarts the instance and submits a job whose data are there. It reports
-// whether a task of the job has started there.
-func (h *harness) restartAndStart(c *caller) bool {
-	i := h.instances[restartCutInstance]
-	// A poll that has just arrived is waited for longest.
-	holds := i.holdCount()
-	for end := time.Now().Add(startTimeout); i.holdCount() == holds && time.Now().Before(end); time.Sleep(pollInterval) {
+// kind returns the current incarnation's kind, or the other one.
+func (i *instance) kind(other bool) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if (i.cpu == kindCPUs[0]) == other {
+		return 1
 	}
-	h.instanceProxies[restartCutInstance].strand(restartTime)
-	i.restart(restartCutInstance / 2 % len(kindCPUs)) // its own kind
-	p := &jobPlan{id: fmt.Sprintf("%08x%08x", c.name+1, len(c.jobs)), kind: pastLease, queue: h.operator.queues[1], runTime: pastLeaseTime}
-	p.payload = fmt.Sprint("payload of ", p.id)
-	p.steps = []stepPlan{{count: 1, cpu: smallCPU, affinity: i.rack()}}
-	c.jobs = append(c.jobs, p)
-	h.checker.submitted(p)
-	status, _ := c.callAny(http.MethodPost, p, p.body())
-	h.checker.answered(p.id, status == http.StatusOK, status == http.StatusServiceUnavailable || status == http.StatusNotFound)
-	started := false
-	for end := time.Now().Add(startTimeout); status == http.StatusOK && !started && time.Now().Before(end); time.Sleep(pollInterval) {
-		started = i.runsJob(p.id)
+	return 0
+}
+
+func (i *instance) rack() string { return "rack-" + i.id }
+
+// entry returns the instance's entry of the registry.
+func (i *instance) entry() []byte {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	state := "ready"
+	if !i.drainingSince.IsZero() {
+		state = "draining"
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": i.pool, "address": i.address, "zone": i.zone, "state": state, "labels": []string{i.label, i.rack()},
+		"capacity": map[string]int{"cpu": i.cpu, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
+	})
+	if err != nil {
+		panic(err) // strings and numbers can be encoded
 	}
-	h.list(i)
-	return started
+	return data
 }
 
-// lapseWithoutContact waits for a run at the instance to end with its lease, and reports
-// whether one did.
-func (h *harness) lapseWithoutContact() bool {
-	i := h.instances[restartCutInstance]
-	lapsed := i.lapses()
-	for end := time.Now().Add(pastLeaseTime); time.Now().Before(end); time.Sleep(pollInterval) {
-		if i.lapses() > lapsed {
-			return true
+// clockMS returns the instance's monotonic clock in milliseconds. That of each incarnation
+// starts lower, as after a long life of the former one.
+func (i *instance) clockMS() int64 {
+	return firstClockMS - int64(i.restarts)*restartClockMS + time.Since(i.startedAt).Milliseconds()
+}
+
+// runsSince returns the runs that have started since a time and are under way.
+func (i *instance) runsSince(t time.Time) []*taskRun {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []*taskRun
+	for _, r := range i.runs {
+		if r.startedAt.After(t) {
+			out = append(out, r)
 		}
 	}
-	return false
+	return out
 }
 
-// runsJob reports whether a task of a job runs there.
-func (i *instance) runsJob(id string) bool {
+// lapsed returns how many of some runs have ended with their lease.
+func (i *instance) lapsed(runs []*taskRun) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for task := range i.runs {
-		if task.Job == id {
-			return true
+	n := 0
+	for _, r := range runs {
+		if r.how == job.EndLapsed {
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// earlyStarts returns how many runs have started before their incarnation had answered a
+// hold call.
+func (i *instance) earlyStarts() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.early
 }
 
 func (i *instance) holdCount() int {
@@ -104,9 +114,8 @@
 	return i.holds
 }
 
-// lapses returns how many runs have ended with their lease.
-func (i *instance) lapses() int {
+func (i *instance) setStartDelay(d time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.lapsed
+	i.startDelay = d
 }
--- /dev/null
+++ b/tools/soak/series.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/beryltide/beryltide/internal/ownership"
+	"github.com/beryltide/beryltide/internal/pause"
+)
+
+const (
+	// seriesKind is the kind of the fault of restartsInSeries, and restartCutKind that of
+	// a round in which a run at a restarted instance ended with its lease.
+	seriesKind     = "restarts and cuts in series"
+	restartCutKind = "restart and cut"
+	// seriesAfter leaves the daemons time to take their units.
+	seriesAfter = 2 * time.Second
+	// minRounds and maxRounds bound the rounds of a series, which ends when both kinds
+	// have taken effect.
+	minRounds, maxRounds = 3, 8
+	// longCallerCount is how many callers submit long tasks in a round.
+	longCallerCount = 3
+	// longJobsLead is how long before the restart they begin.
+	longJobsLead = time.Second
+	// holdTimeout is how long a round waits for a hold call to arrive.
+	holdTimeout = 1500 * time.Millisecond
+	// pastLeaseTime is longer than an instance works without contact: the longest lease
+	// after a start that was repeated once.
+	pastLeaseTime = maxLeaseMS*time.Millisecond + 2*time.Second
+)
+
+// round is one round of a series: the instances of some pools in a data centre restart,
+// and are cut off from all daemons while long tasks run there.
+type round struct {
+	zone  string
+	pools []string
+	// refuses makes the instances refuse calls while they are down, instead of leaving
+	// them without an answer.
+	refuses bool
+	// down is how long they can't be reached as they restart, run how long they can be
+	// then, and cutFor how long they are cut off after that.
+	down, run, cutFor time.Duration
+	cutMode           mode
+	// again, if not zero, is when in the cut they restart once more.
+	again time.Duration
+	// startDelay, if not zero, is that of the instances until the cut.
+	startDelay time.Duration
+	// killed and paused tell whether the daemon with the first pool's unit is, at a part
+	// of run after the restart and until a time after the beginning of the cut.
+	killed, paused bool
+	daemonAt       float64
+	daemonFor      time.Duration
+}
+
+func (r *round) String() string {
+	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s killed=%t paused=%t",
+		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.killed, r.paused)
+}
+
+// between draws a time.
+func between(random *rand.Rand, from, to time.Duration) time.Duration {
+	return (from + time.Duration(random.Int64N(int64(to-from)))).Truncate(time.Millisecond)
+}
+
+// drawRound draws a round. The order and number of the draws fix a seed's rounds.
+func drawRound(random *rand.Rand, zone string) *round {
+	r := &round{
+		zone:    zone,
+		pools:   [][]string{{firstPool}, {secondPool}, {firstPool, secondPool}}[random.IntN(3)],
+		refuses: random.IntN(4) == 0,
+		down:    between(random, 300*time.Millisecond, 800*time.Millisecond),
+		run:     between(random, 500*time.Millisecond, 3*time.Second),
+		cutFor:  between(random, 7*time.Second, 10*time.Second),
+		cutMode: []mode{silent, silent, silent, oneWay}[random.IntN(4)],
+	}
+	again, late, daemon := random.IntN(4) == 0, random.IntN(4) == 0, random.IntN(3)
+	if again {
+		r.again = between(random, 500*time.Millisecond, 6*time.Second)
+	}
+	if late {
+		r.startDelay = between(random, 200*time.Millisecond, 900*time.Millisecond)
+	}
+	r.killed, r.paused = daemon == 1, daemon == 2
+	r.daemonAt, r.daemonFor = random.Float64(), between(random, 300*time.Millisecond, 5*time.Second)
+	return r
+}
+
+// restartsInSeries plays rounds at the data centres by turns, each while the former one's
+// instances are still cut off, and returns their schedule. It goes on until runs have been
+// seen to start before their owner noticed the restart or to lapse behind a cut, and one
+// that started after a restart to lapse.
+func (h *harness) restartsInSeries(ctx context.Context) []string {
+	random := rand.New(rand.NewPCG(h.seed, 2))
+	first := random.IntN(len(zones))
+	schedule := make([]string, 0, maxRounds)
+	var wg sync.WaitGroup
+	h.checker.drew(restartCutKind)
+	pause.For(ctx, seriesAfter)
+	for n := range maxRounds {
+		if n >= minRounds && h.checker.seenEffect(seriesKind) && h.checker.seenEffect(restartCutKind) {
+			break
+		}
+		r := drawRound(random, zones[(first+n)%len(zones)])
+		next := longJobsLead + r.down + r.run + between(random, 3*time.Second, 6*time.Second)
+		schedule = append(schedule, fmt.Sprintf("%6.2f s  round %d: %s", time.Since(h.checker.startedAt).Seconds(), n, r))
+		h.checker.drew(seriesKind)
+		wg.Go(func() { schedule[n] += "; " + h.play(r) })
+		pause.For(context.Background(), next)
+	}
+	wg.Wait()
+	return schedule
+}
+
+// play plays one round and returns what it has shown.
+func (h *harness) play(r *round) string {
+	var at []int
+	for n, i := range h.instances {
+		for _, pool := range r.pools {
+			if n != drainingInstance && i.pool == pool && i.zone == r.zone {
+				at = append(at, n)
+			}
+		}
+	}
+	each := func(do func(*instance, *proxy)) {
+		for _, n := range at {
+			do(h.instances[n], h.instanceProxies[n])
+		}
+	}
+	submitting, stop := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	h.submitLongJobs(submitting, &callers, r.pools, at)
+	defer callers.Wait()
+	defer stop()
+
+	pause.For(submitting, longJobsLead)
+	each(func(i *instance, _ *proxy) { i.setStartDelay(r.startDelay) })
+	h.instances[at[0]].awaitHold()
+	early := 0
+	each(func(i *instance, p *proxy) {
+		early += i.earlyStarts()
+		if r.refuses {
+			p.cut(reset)
+		} else {
+			p.strand(r.down)
+		}
+		i.restart(i.kind(false))
+	})
+	restartedAt := time.Now()
+	pause.For(submitting, r.down)
+	each(func(_ *instance, p *proxy) { p.cut(pass) })
+	var others sync.WaitGroup
+	defer others.Wait()
+	others.Go(func() { h.disturbOwner(r) })
+	others.Go(func() { h.listLater(at) })
+	pause.For(submitting, r.run)
+
+	underWay := map[*instance][]*taskRun{}
+	each(func(i *instance, p *proxy) {
+		p.cut(r.cutMode)
+		i.setStartDelay(0)
+		underWay[i] = i.runsSince(restartedAt)
+		early -= i.earlyStarts()
+	})
+	stop()
+	if r.again > 0 {
+		pause.For(context.Background(), r.again)
+		each(func(i *instance, _ *proxy) { i.restart(i.kind(false)) })
+		others.Go(func() { h.listLater(at) })
+	}
+	pause.For(context.Background(), r.cutFor-r.again)
+	each(func(_ *instance, p *proxy) { p.cut(pass) })
+	return h.countEffects(underWay, -early)
+}
+
+// countEffects counts what a round has shown, and returns it: the runs that were under
+// way at the cut, how many of them ended with their lease, and how many early starts
+// there were.
+func (h *harness) countEffects(underWay map[*instance][]*taskRun, early int) string {
+	runs, lapsed := 0, 0
+	for i, at := range underWay {
+		lapsed += i.lapsed(at)
+		runs += len(at)
+		for range at {
+			h.checker.exercise(judgeRestarted)
+		}
+	}
+	if lapsed > 0 {
+		h.checker.tookEffect(restartCutKind)
+	}
+	if lapsed+early > 0 {
+		h.checker.tookEffect(seriesKind)
+	}
+	return fmt.Sprintf("%d runs at %d instances, %d lapsed, %d early starts", runs, len(underWay), lapsed, early)
+}
+
+// listLater writes the entries of instances that have restarted.
+func (h *harness) listLater(at []int) {
+	time.Sleep(entryDelay)
+	for _, n := range at {
+		h.list(h.instances[n])
+	}
+}
+
+// awaitHold waits for a hold call to arrive: the owner waits longest then before it
+// notices a restart.
+func (i *instance) awaitHold() {
+	holds := i.holdCount()
+	for end := time.Now().Add(holdTimeout); i.holdCount() == holds && time.Now().Before(end); {
+		time.Sleep(pollInterval)
+	}
+}
+
+// submitLongJobs lets callers submit jobs with long tasks, most of them with data at some
+// instances, until the context ends.
+func (h *harness) submitLongJobs(ctx context.Context, wg *sync.WaitGroup, pools []string, at []int) {
+	for range longCallerCount {
+		h.longCallersMu.Lock()
+		c := newCaller(h, h.seed, callerCount+len(h.longCallers))
+		h.longCallers = append(h.longCallers, c)
+		h.longCallersMu.Unlock()
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				pool := pools[c.random.IntN(len(pools))]
+				p := &jobPlan{id: fmt.Sprintf("%08x%08x", c.name+1, n), kind: pastLease, queue: h.operator.queueOf(pool), runTime: pastLeaseTime}
+				p.payload = fmt.Sprint("payload of ", p.id)
+				step := stepPlan{count: 1 + c.random.IntN(3), cpu: smallCPU}
+				if i := h.instances[at[c.random.IntN(len(at))]]; i.pool == pool && c.random.IntN(4) > 0 {
+					step.affinity = i.rack()
+				}
+				p.steps = []stepPlan{step}
+				c.submit(ctx, p)
+				pause.For(ctx, time.Duration(50+c.random.IntN(250))*time.Millisecond)
+			}
+			c.repeats.Wait()
+		})
+	}
+}
+
+// queueOf returns a queue that is always sent to a pool.
+func (o *operator) queueOf(pool string) *queue {
+	if pool == firstPool {
+		return o.queues[0]
+	}
+	return o.queues[1]
+}
+
+// disturbOwner kills or pauses the daemon with the unit of a round's first pool, and
+// starts or continues it later.
+func (h *harness) disturbOwner(r *round) {
+	if !r.killed && !r.paused {
+		return
+	}
+	at := time.Duration(r.daemonAt * float64(r.run))
+	time.Sleep(at)
+	d := h.ownerOf(r.pools[0])
+	if r.killed {
+		d.signal(syscall.SIGKILL)
+		time.Sleep(min(r.daemonFor, time.Second))
+		h.restartDaemon(d)
+		return
+	}
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(r.run - at + r.daemonFor)
+	d.signal(syscall.SIGCONT)
+}
+
+// ownerOf returns the daemon with a pool's unit, or any if the unit has none.
+func (h *harness) ownerOf(pool string) *process {
+	store := h.store.Client()
+	units, _ := store.Newest(context.Background(), "keyed.units", 0, "") // a client without faults can't fail
+	owners, _ := store.Owners(context.Background(), ownership.Group)
+	for _, unit := range units.Records {
+		for _, owner := range owners {
+			if n, err := strconv.Atoi(string(unit.Value)); err != nil || unit.Key != pool || n != owner.Partition {
+				continue
+			}
+			for _, d := range h.daemons {
+				if d.name == owner.Member {
+					return d
+				}
+			}
+		}
+	}
+	return h.daemons[0]
+}
