Each seed of a soak claims loopback addresses of its own

Two soaks at once on a machine bound the same addresses for seeds with the same number, and their daemons received each other's calls. A seed now claims a block of addresses by binding a port of it, skips blocks with a port in use, and releases it at its end; a soak that finds no block says so at once.

--- a/tools/soak/floors_test.go
+++ b/tools/soak/floors_test.go
@@ -52,7 +52,7 @@
 
 func TestSettingsAreCheckedAsTheDaemonDoes(t *testing.T) {
 	is := is.New(t)
-	s := (&harness{}).settings(0, "127.0.0.1:1")
+	s := (&harness{addresses: &addressBlock{}}).settings(0, "127.0.0.1:1")
 	file := filepath.Join(t.TempDir(), "d.json")
 	is.NoErr(writeSettings(file, s))
 	s.ListsPerSecond = 0
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -33,12 +33,13 @@
 
 // harness holds one seed's daemon processes and the simulated store and instances.
 type harness struct {
-	seed     uint64
-	dir      string
-	binary   string
-	checker  *checker
-	operator *operator
-	store    *memstore.Store
+	seed      uint64
+	dir       string
+	binary    string
+	addresses *addressBlock
+	checker   *checker
+	operator  *operator
+	store     *memstore.Store
 	// storeSilent leaves the daemons' calls to the store without an answer.
 	storeSilent bool
 	daemons     []*process
@@ -54,7 +55,11 @@
 // newHarness starts a seed's instances and daemons. It calls prepare, if not nil, before
 // the daemons start.
 func newHarness(seed uint64, dir, binary string, runTime time.Duration, prepare func(*harness)) (*harness, error) {
-	h := &harness{seed: seed, dir: dir, binary: binary, checker: newChecker(), store: memstore.New(unitCount)}
+	addresses, err := claimBlock()
+	if err != nil {
+		return nil, err
+	}
+	h := &harness{seed: seed, dir: dir, binary: binary, addresses: addresses, checker: newChecker(), store: memstore.New(unitCount)}
 	h.store.Limits = store.Limits{Record: recordBytes, Append: callBytes}
 	h.operator = newOperator(h)
 	h.checker.sentTo, h.checker.movedSince = h.operator.sentTo, h.operator.movedSince
@@ -133,22 +138,9 @@
 	}
 }
 
-// firstPort is the first port of each daemon. Each daemon of each seed has a
-// loopback address of its own: a port that is free while its daemon is down could
-// be taken by another seed's daemon.
-const firstPort = 7000
-
-func (h *harness) listenAddresses(n int, ports ...string) map[string]string {
-	listen := map[string]string{}
-	for i, port := range ports {
-		listen[port] = fmt.Sprintf("127.%d.%d.%d:%d", 1+h.seed/200%200, 1+h.seed%200, n+1, firstPort+i)
-	}
-	return listen
-}
-
 // settings returns a daemon's settings.
 func (h *harness) settings(n int, storeAddress string) fleetd.Settings {
-	listen := h.listenAddresses(n, "callers", "readiness", "peers", "operations", "machines")
+	listen := h.addresses.daemon(n)
 	return fleetd.Settings{
 		Instance: fmt.Sprintf("d-%d", n), DataCentre: zones[n%len(zones)], Callers: listen["callers"], Readiness: listen["readiness"],
 		Peers: listen["peers"], Operations: listen["operations"], Store: storeAddress, Machines: listen["machines"],
@@ -225,4 +217,5 @@
 		_ = p.logFile.Close()
 	}
 	h.cancel()
+	h.addresses.release()
 }
