--- a/tools/soak/series.go
+++ b/tools/soak/series.go
@@ -27,6 +27,8 @@
 	longCallerCount = 3
 	// longJobsLead is how long before the restart they begin.
 	longJobsLead = time.Second
+	// lateStarts is how long before a cut the instances begin to execute starts late.
+	lateStarts = 500 * time.Millisecond
 	// holdTimeout is how long a round waits for a hold call to arrive.
 	holdTimeout = 1500 * time.Millisecond
 	// pastLeaseTime is longer than an instance works without contact: the longest lease
@@ -48,18 +50,20 @@
 	cutMode           mode
 	// again, if not zero, is when in the cut they restart once more.
 	again time.Duration
-	// startDelay, if not zero, is that of the instances until the cut.
+	// startDelay, if not zero, is that of the instances for the last part before they
+	// restart, or with lateAtCut before they are cut off.
 	startDelay time.Duration
-	// killed and paused tell whether the daemon with the first pool's unit is, at a part
-	// of run after the restart and until a time after the beginning of the cut.
-	killed, paused bool
-	daemonAt       float64
-	daemonFor      time.Duration
+	lateAtCut  bool
+	// killed and paused tell whether the daemon with the first pool's unit is, for a time.
+	// It is killed daemonAt after the instances can be reached again. It is paused then,
+	// and continues daemonFor after the cut.
+	killed, paused      bool
+	daemonAt, daemonFor time.Duration
 }
 
 func (r *round) String() string {
-	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s killed=%t paused=%t",
-		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.killed, r.paused)
+	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s at_cut=%t killed=%t paused=%t",
+		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.lateAtCut, r.killed, r.paused)
 }
 
 // between draws a time.
@@ -67,26 +71,36 @@
 	return (from + time.Duration(random.Int64N(int64(to-from)))).Truncate(time.Millisecond)
 }
 
-// drawRound draws a round. The order and number of the draws fix a seed's rounds.
-func drawRound(random *rand.Rand, zone string) *round {
+// drawRound draws round n of a seed. The first one has restarts and a cut alone, the
+// second one kills the owner between them. The order and number of the draws fix a
+// seed's rounds.
+func drawRound(random *rand.Rand, n int, zone string) *round {
 	r := &round{
 		zone:    zone,
 		pools:   [][]string{{firstPool}, {secondPool}, {firstPool, secondPool}}[random.IntN(3)],
-		refuses: random.IntN(4) == 0,
 		down:    between(random, 300*time.Millisecond, 800*time.Millisecond),
 		run:     between(random, 500*time.Millisecond, 3*time.Second),
 		cutFor:  between(random, 7*time.Second, 10*time.Second),
-		cutMode: []mode{silent, silent, silent, oneWay}[random.IntN(4)],
+		cutMode: silent,
+		killed:  n == 1,
 	}
-	again, late, daemon := random.IntN(4) == 0, random.IntN(4) == 0, random.IntN(3)
-	if again {
+	// Starts reach the instances before the owner is lost.
+	r.daemonAt = r.run/2 + between(random, 0, r.run/2)
+	r.daemonFor = between(random, 300*time.Millisecond, 5*time.Second)
+	if n < 2 {
+		return r
+	}
+	if random.IntN(4) == 0 {
+		r.cutMode = oneWay
+	}
+	if random.IntN(4) == 0 {
 		r.again = between(random, 500*time.Millisecond, 6*time.Second)
 	}
-	if late {
-		r.startDelay = between(random, 200*time.Millisecond, 900*time.Millisecond)
+	if random.IntN(3) == 0 {
+		r.startDelay, r.lateAtCut = between(random, 200*time.Millisecond, 900*time.Millisecond), random.IntN(2) == 0
 	}
-	r.killed, r.paused = daemon == 1, daemon == 2
-	r.daemonAt, r.daemonFor = random.Float64(), between(random, 300*time.Millisecond, 5*time.Second)
+	daemon := random.IntN(3)
+	r.refuses, r.killed, r.paused = random.IntN(4) == 0, daemon == 1, daemon == 2
 	return r
 }
 
@@ -105,7 +119,7 @@
 		if n >= minRounds && h.checker.seenEffect(seriesKind) && h.checker.seenEffect(restartCutKind) {
 			break
 		}
-		r := drawRound(random, zones[(first+n)%len(zones)])
+		r := drawRound(random, n, zones[(first+n)%len(zones)])
 		next := longJobsLead + r.down + r.run + between(random, 3*time.Second, 6*time.Second)
 		schedule = append(schedule, fmt.Sprintf("%6.2f s  round %d: %s", time.Since(h.checker.startedAt).Seconds(), n, r))
 		h.checker.drew(seriesKind)
@@ -138,7 +152,9 @@
 	defer stop()
 
 	pause.For(submitting, longJobsLead)
-	each(func(i *instance, _ *proxy) { i.setStartDelay(r.startDelay) })
+	if !r.lateAtCut {
+		each(func(i *instance, _ *proxy) { i.setStartDelay(r.startDelay) })
+	}
 	h.instances[at[0]].awaitHold()
 	early := 0
 	each(func(i *instance, p *proxy) {
@@ -149,6 +165,7 @@
 			p.strand(r.down)
 		}
 		i.restart(i.kind(false))
+		i.setStartDelay(0)
 	})
 	restartedAt := time.Now()
 	pause.For(submitting, r.down)
@@ -157,7 +174,12 @@
 	defer others.Wait()
 	others.Go(func() { h.disturbOwner(r) })
 	others.Go(func() { h.listLater(at) })
-	pause.For(submitting, r.run)
+	late := min(r.run, lateStarts)
+	pause.For(submitting, r.run-late)
+	if r.lateAtCut {
+		each(func(i *instance, _ *proxy) { i.setStartDelay(r.startDelay) })
+	}
+	pause.For(submitting, late)
 
 	underWay := map[*instance][]*taskRun{}
 	each(func(i *instance, p *proxy) {
@@ -255,8 +277,7 @@
 	if !r.killed && !r.paused {
 		return
 	}
-	at := time.Duration(r.daemonAt * float64(r.run))
-	time.Sleep(at)
+	time.Sleep(r.daemonAt)
 	d := h.ownerOf(r.pools[0])
 	if r.killed {
 		d.signal(syscall.SIGKILL)
@@ -265,7 +286,7 @@
 		return
 	}
 	d.signal(syscall.SIGSTOP)
-	time.Sleep(r.run - at + r.daemonFor)
+	time.Sleep(r.run - r.daemonAt + r.daemonFor)
 	d.signal(syscall.SIGCONT)
 }
 
