The soak plays four rounds, and the first cut outlasts all leases

The first cut now lasts 10.5 s, as do those of rounds that are played since the series hasn't taken effect. A round may pause the owner 5 s before the restart and continue it after that, so that a former owner's orders reach instances which know no fence. Seeds play four rounds.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -78,6 +78,13 @@
 	c.counts.exercised[j]++
 }
 
+// judged returns how much a judge has judged.
+func (c *checker) judged(j judge) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts.exercised[j]
+}
+
 // drew and tookEffect count a fault.
 func (c *checker) drew(kind string) {
 	c.mu.Lock()
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -96,7 +96,7 @@
 func (h *harness) cutWithManyEnds(ctx context.Context) {
 	h.checker.drew(cutKind)
 	drawn, _ := ctx.Deadline()
-	for time.Now().Before(drawn.Add(effectTimeout)) {
+	for time.Now().Before(drawn.Add(seriesTimeout)) {
 		for n, i := range h.instances {
 			i.mu.Lock()
 			runs := len(i.runs)
@@ -145,9 +145,7 @@
 		h.compactFault,
 		h.reassignFault,
 		func() fault { return h.configurationFault("a queue moves", h.operator.moveQueue, func() {}) },
-		func() fault {
-			return h.configurationFault("a queue is removed", func() { h.operator.setRemoved(true) }, func() { h.operator.setRemoved(false) })
-		},
+		h.removalFault,
 	}
 	return faults[random.IntN(len(faults))]()
 }
@@ -323,6 +321,15 @@
 	}
 }
 
+// removalFault removes a queue until a submission to it has been refused.
+func (h *harness) removalFault() fault {
+	f := h.configurationFault("a queue is removed", func() { h.operator.setRemoved(true) }, func() { h.operator.setRemoved(false) })
+	refused, begin := 0, f.begin
+	f.begin = func() { refused = h.checker.judged(judgeRefused); begin() }
+	f.effect = func() bool { return h.checker.judged(judgeRefused) > refused }
+	return f
+}
+
 func (h *harness) configurationFault(kind string, begin, end func()) fault {
 	before := 0
 	version := func() int {
--- a/tools/soak/series.go
+++ b/tools/soak/series.go
@@ -20,9 +20,15 @@
 	restartCutKind = "restart and cut"
 	// seriesAfter leaves the daemons time to take their units.
 	seriesAfter = 2 * time.Second
-	// minRounds and maxRounds bound the rounds of a series, which ends when both kinds
-	// have taken effect.
-	minRounds, maxRounds = 3, 8
+	// minRounds is how many rounds a seed plays; it plays further ones, which begin within
+	// seriesTimeout of the last other fault, until both kinds have taken effect.
+	minRounds     = 4
+	seriesTimeout = 2 * effectTimeout
+	// pastLeaseCut is longer than any lease at an instance that is cut off.
+	pastLeaseCut = maxLeaseMS*time.Millisecond + 500*time.Millisecond
+	// takeoverLead is how long before a restart the owner is paused that continues after
+	// it: long enough for a successor to take the unit.
+	takeoverLead = 5 * time.Second
 	// longCallerCount is how many callers submit long tasks in a round.
 	longCallerCount = 3
 	// longJobsLead is how long before the restart they begin.
@@ -41,6 +47,9 @@
 type round struct {
 	zone  string
 	pools []string
+	// restartedAt is when the instances restarted, and shown what the round has shown.
+	restartedAt time.Time
+	shown       string
 	// refuses makes the instances refuse calls while they are down, instead of leaving
 	// them without an answer.
 	refuses bool
@@ -59,11 +68,15 @@
 	// and continues daemonFor after the cut.
 	killed, paused      bool
 	daemonAt, daemonFor time.Duration
+	// resumed tells whether that daemon is paused from takeoverLead before the restart
+	// until the instances can be reached again: a former owner's orders reach instances
+	// that know no fence.
+	resumed bool
 }
 
 func (r *round) String() string {
-	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s at_cut=%t killed=%t paused=%t",
-		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.lateAtCut, r.killed, r.paused)
+	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s at_cut=%t killed=%t paused=%t resumed=%t: %s",
+		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.lateAtCut, r.killed, r.paused, r.resumed, r.shown)
 }
 
 // between draws a time.
@@ -71,9 +84,9 @@
 	return (from + time.Duration(random.Int64N(int64(to-from)))).Truncate(time.Millisecond)
 }
 
-// drawRound draws round n of a seed. The first one has restarts and a cut alone, the
-// second one kills the owner between them. The order and number of the draws fix a
-// seed's rounds.
+// drawRound draws round n of a seed. The first one, and those after minRounds, have
+// restarts and a cut alone, in which all leases end. The second one kills the owner
+// between them. The order and number of the draws fix a seed's rounds.
 func drawRound(random *rand.Rand, n int, zone string) *round {
 	r := &round{
 		zone:    zone,
@@ -87,7 +100,11 @@
 	// Starts reach the instances before the owner is lost.
 	r.daemonAt = r.run/2 + between(random, 0, r.run/2)
 	r.daemonFor = between(random, 300*time.Millisecond, 5*time.Second)
-	if n < 2 {
+	if n == 0 || n >= minRounds {
+		r.cutFor = pastLeaseCut
+		return r
+	}
+	if n == 1 {
 		return r
 	}
 	if random.IntN(4) == 0 {
@@ -99,8 +116,8 @@
 	if random.IntN(3) == 0 {
 		r.startDelay, r.lateAtCut = between(random, 200*time.Millisecond, 900*time.Millisecond), random.IntN(2) == 0
 	}
-	daemon := random.IntN(3)
-	r.refuses, r.killed, r.paused = random.IntN(4) == 0, daemon == 1, daemon == 2
+	daemon := random.IntN(4)
+	r.refuses, r.killed, r.paused, r.resumed = random.IntN(4) == 0, daemon == 1, daemon == 2, daemon == 3
 	return r
 }
 
@@ -111,27 +128,39 @@
 func (h *harness) restartsInSeries(ctx context.Context) []string {
 	random := rand.New(rand.NewPCG(h.seed, 2))
 	first := random.IntN(len(zones))
-	schedule := make([]string, 0, maxRounds)
+	var rounds []*round
+	drawn, _ := ctx.Deadline()
 	var wg sync.WaitGroup
 	h.checker.drew(restartCutKind)
 	pause.For(ctx, seriesAfter)
-	for n := range maxRounds {
+	for n := 0; n < minRounds || time.Now().Before(drawn.Add(seriesTimeout)); n++ {
 		if n >= minRounds && h.checker.seenEffect(seriesKind) && h.checker.seenEffect(restartCutKind) {
 			break
 		}
 		r := drawRound(random, n, zones[(first+n)%len(zones)])
-		next := longJobsLead + r.down + r.run + between(random, 3*time.Second, 6*time.Second)
-		schedule = append(schedule, fmt.Sprintf("%6.2f s  round %d: %s", time.Since(h.checker.startedAt).Seconds(), n, r))
+		rounds = append(rounds, r)
 		h.checker.drew(seriesKind)
-		wg.Go(func() { schedule[n] += "; " + h.play(r) })
-		pause.For(context.Background(), next)
+		wg.Go(func() { h.play(r) })
+		pause.For(context.Background(), r.lead()+r.down+r.run+between(random, 3*time.Second, 6*time.Second))
 	}
 	wg.Wait()
+	var schedule []string
+	for n, r := range rounds {
+		schedule = append(schedule, fmt.Sprintf("%6.2f s  round %d: %s", r.restartedAt.Sub(h.checker.startedAt).Seconds(), n, r))
+	}
 	return schedule
 }
 
-// play plays one round and returns what it has shown.
-func (h *harness) play(r *round) string {
+// lead returns how long before the restart a round begins.
+func (r *round) lead() time.Duration {
+	if r.resumed {
+		return takeoverLead
+	}
+	return longJobsLead
+}
+
+// play plays one round.
+func (h *harness) play(r *round) {
 	var at []int
 	for n, i := range h.instances {
 		for _, pool := range r.pools {
@@ -151,7 +180,13 @@
 	defer callers.Wait()
 	defer stop()
 
-	pause.For(submitting, longJobsLead)
+	resume := func() {}
+	if r.resumed {
+		d := h.ownerOf(r.pools[0])
+		d.signal(syscall.SIGSTOP)
+		resume = func() { d.signal(syscall.SIGCONT) }
+	}
+	pause.For(submitting, r.lead())
 	if !r.lateAtCut {
 		each(func(i *instance, _ *proxy) { i.setStartDelay(r.startDelay) })
 	}
@@ -167,9 +202,10 @@
 		i.restart(i.kind(false))
 		i.setStartDelay(0)
 	})
-	restartedAt := time.Now()
+	r.restartedAt = time.Now()
 	pause.For(submitting, r.down)
 	each(func(_ *instance, p *proxy) { p.cut(pass) })
+	resume()
 	var others sync.WaitGroup
 	defer others.Wait()
 	others.Go(func() { h.disturbOwner(r) })
@@ -185,7 +221,7 @@
 	each(func(i *instance, p *proxy) {
 		p.cut(r.cutMode)
 		i.setStartDelay(0)
-		underWay[i] = i.runsSince(restartedAt)
+		underWay[i] = i.runsSince(r.restartedAt)
 		early -= i.earlyStarts()
 	})
 	stop()
@@ -196,7 +232,7 @@
 	}
 	pause.For(context.Background(), r.cutFor-r.again)
 	each(func(_ *instance, p *proxy) { p.cut(pass) })
-	return h.countEffects(underWay, -early)
+	r.shown = h.countEffects(underWay, -early)
 }
 
 // countEffects counts what a round has shown, and returns it: the runs that were under
