The soak's cut with many ends counts the tasks that end then

It now counts the runs of the kind alone.

The cases of TestSeedWithoutWorkFails run at once; one after the other took 89 s.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -98,10 +98,7 @@
 	drawn, _ := ctx.Deadline()
 	for time.Now().Before(drawn.Add(seriesTimeout)) {
 		for n, i := range h.instances {
-			i.mu.Lock()
-			runs := len(i.runs)
-			i.mu.Unlock()
-			if runs <= endsPerListing {
+			if i.runsOf(manyEnds) <= endsPerListing {
 				continue
 			}
 			h.instanceProxies[n].set(silent)
--- a/tools/soak/floors_test.go
+++ b/tools/soak/floors_test.go
@@ -40,6 +40,7 @@
 		}, "0 starts"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			o := options{length: 3 * time.Second, settle: time.Second, prepare: c.prepare}
 			report, n, ok := runSeed(o, uint64(30_000+number), t.TempDir(), binary)
--- a/tools/soak/restarts.go
+++ b/tools/soak/restarts.go
@@ -87,6 +87,19 @@
 	return out
 }
 
+// runsOf returns how many tasks of jobs of a kind run there.
+func (i *instance) runsOf(kind jobKind) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for _, r := range i.runs {
+		if r.plan.kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // lapsed returns how many of some runs have ended with their lease.
 func (i *instance) lapsed(runs []*taskRun) int {
 	i.mu.Lock()
