--- a/tools/soak/addresses.go
+++ b/tools/soak/addresses.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// blockCount is the number of blocks of loopback addresses, 127.1.1.0/24 to
-	// 127.250.250.0/24; blocksPerOctet is how many of them share their second octet.
+	// Blocks of loopback addresses are 127.201.1.0/24 to 127.250.250.0/24: programs that
+	// claim nothing, such as earlier versions of the soak, use lower ones.
+	firstOctet     = 201
 	blocksPerOctet = 250
-	blockCount     = blocksPerOctet * blocksPerOctet
+	blockCount     = (251 - firstOctet) * blocksPerOctet
 	// claimHost and claimPort are bound in a block while a seed uses it.
 	claimHost, claimPort = 254, 6999
 	// firstPort is the first port of each daemon.
@@ -64,7 +65,7 @@
 func (b *addressBlock) release() { _ = b.claim.Close() }
 
 func (b *addressBlock) address(host, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+b.number/blocksPerOctet, 1+b.number%blocksPerOctet, host, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", firstOctet+b.number/blocksPerOctet, 1+b.number%blocksPerOctet, host, port)
 }
 
 // daemonPorts are the names of a daemon's ports.
