--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -101,6 +101,10 @@
 			if i.runsOf(manyEnds) <= endsPerListing {
 				continue
 			}
+			// The cut lets no more tasks start.
+			for runs := 0; runs < i.runsOf(manyEnds); time.Sleep(effectInterval) {
+				runs = i.runsOf(manyEnds)
+			}
 			h.instanceProxies[n].set(silent)
 			pause.For(context.Background(), manyEndsTime+500*time.Millisecond)
 			i.mu.Lock()
