--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -78,6 +78,13 @@
 	c.counts.exercised[j]++
 }
 
+// judged returns how much a judge has judged.
+func (c *checker) judged(j judge) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts.exercised[j]
+}
+
 // drew and tookEffect count a fault.
 func (c *checker) drew(kind string) {
 	c.mu.Lock()
@@ -212,11 +219,14 @@
 	return id
 }
 
-// endAcknowledged records that the end of a done task was acknowledged.
-func (c *checker) endAcknowledged(id job.TaskID) {
+// endAcknowledged records that the end of a done task was acknowledged to an instance.
+func (c *checker) endAcknowledged(at *instance, id job.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.exercised[judgeAcked]++
+	if at.restarts > 1 {
+		c.counts.exercised[judgeAckedAfterRestart]++
+	}
 	if c.acknowledgedAt[id].IsZero() {
 		c.acknowledgedAt[id] = time.Now()
 	}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -25,10 +25,6 @@
 // concerns it.
 const drainingInstance = 0
 
-// restartCutInstance is the index of the instance of restartAndCut; no other fault
-// concerns it.
-const restartCutInstance = 5
-
 // drainAfter is when it begins to drain.
 const drainAfter = time.Second
 
@@ -48,7 +44,8 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	wg.Go(func() { h.restartAndCut(ctx) })
+	var rounds []string
+	wg.Go(func() { rounds = h.restartsInSeries(ctx) })
 	for ctx.Err() == nil {
 		f := h.drawFault(random)
 		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
@@ -57,7 +54,7 @@
 		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
-	return schedule
+	return append(schedule, rounds...)
 }
 
 func (h *harness) inject(ctx context.Context, f fault, duration time.Duration) {
@@ -99,14 +96,15 @@
 func (h *harness) cutWithManyEnds(ctx context.Context) {
 	h.checker.drew(cutKind)
 	drawn, _ := ctx.Deadline()
-	for time.Now().Before(drawn.Add(effectTimeout)) {
+	for time.Now().Before(drawn.Add(seriesTimeout)) {
 		for n, i := range h.instances {
-			i.mu.Lock()
-			runs := len(i.runs)
-			i.mu.Unlock()
-			if n == restartCutInstance || runs <= endsPerListing {
+			if i.runsOf(manyEnds) <= endsPerListing {
 				continue
 			}
+			// The cut lets no more tasks start.
+			for runs := 0; runs < i.runsOf(manyEnds); time.Sleep(effectInterval) {
+				runs = i.runsOf(manyEnds)
+			}
 			h.instanceProxies[n].set(silent)
 			pause.For(context.Background(), manyEndsTime+500*time.Millisecond)
 			i.mu.Lock()
@@ -125,10 +123,7 @@
 // drawFault draws a fault. The order and number of the draws fix a seed's schedule.
 func (h *harness) drawFault(random *rand.Rand) fault {
 	d := h.daemons[random.IntN(len(h.daemons))]
-	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-2)
-	if n >= restartCutInstance {
-		n++
-	}
+	n := drainingInstance + 1 + random.IntN(len(h.instances)-drainingInstance-1)
 	modes := []mode{slow, silent, oneWay, reset}
 	m := modes[random.IntN(len(modes))]
 	lost := random.Uint64()
@@ -151,9 +146,7 @@
 		h.compactFault,
 		h.reassignFault,
 		func() fault { return h.configurationFault("a queue moves", h.operator.moveQueue, func() {}) },
-		func() fault {
-			return h.configurationFault("a queue is removed", func() { h.operator.setRemoved(true) }, func() { h.operator.setRemoved(false) })
-		},
+		h.removalFault,
 	}
 	return faults[random.IntN(len(faults))]()
 }
@@ -243,12 +236,8 @@
 			instanceProxy.set(reset)
 			i.mu.Lock()
 			before = i.restarts
-			kind := 0
-			if (i.cpu == kindCPUs[0]) == otherKind {
-				kind = 1
-			}
 			i.mu.Unlock()
-			i.restart(kind)
+			i.restart(i.kind(otherKind))
 		},
 		effect: func() bool {
 			i.mu.Lock()
@@ -333,6 +322,15 @@
 	}
 }
 
+// removalFault removes a queue until a submission to it has been refused.
+func (h *harness) removalFault() fault {
+	f := h.configurationFault("a queue is removed", func() { h.operator.setRemoved(true) }, func() { h.operator.setRemoved(false) })
+	refused, begin := 0, f.begin
+	f.begin = func() { refused = h.checker.judged(judgeRefused); begin() }
+	f.effect = func() bool { return h.checker.judged(judgeRefused) > refused }
+	return f
+}
+
 func (h *harness) configurationFault(kind string, begin, end func()) fault {
 	before := 0
 	version := func() int {
--- a/tools/soak/floors_test.go
+++ b/tools/soak/floors_test.go
@@ -40,6 +40,7 @@
 		}, "0 starts"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			o := options{length: 3 * time.Second, settle: time.Second, prepare: c.prepare}
 			report, n, ok := runSeed(o, uint64(30_000+number), t.TempDir(), binary)
@@ -52,7 +53,7 @@
 
 func TestSettingsAreCheckedAsTheDaemonDoes(t *testing.T) {
 	is := is.New(t)
-	s := (&harness{}).settings(0, "127.0.0.1:1")
+	s := (&harness{addresses: &addressBlock{}}).settings(0, "127.0.0.1:1")
 	file := filepath.Join(t.TempDir(), "d.json")
 	is.NoErr(writeSettings(file, s))
 	s.ListsPerSecond = 0
