Tests of bounds that could be taken out unnoticed

- TestWithheldOrderMovesNoExpiry: the check of contact before a start.
- TestEndsOfANewIncarnationAreAcknowledged: lastAcknowledged = 0 for a new incarnation.
- TestRecordedLossCoversUnboundRuns: the runs in lastExpiry; a loss would be recorded with the short lease for runs that aren't bound.

--- a/internal/owner/bound_orders_test.go
+++ b/internal/owner/bound_orders_test.go
@@ -271,3 +271,24 @@
 		is.Equal(len(c.occupied()), 1) // where the first try runs, or elsewhere after its stop
 	})
 }
+
+// Guards against ends that are never acknowledged, because more were to the former
+// incarnation: polls that list them don't wait.
+func TestEndsOfANewIncarnationAreAcknowledged(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		i := c.instances["i-0"]
+		d := c.startOwner(64)
+		c.submit(jobB, smallStep(4))
+		time.Sleep(2 * time.Second)
+		is.Equal(i.lastAcknowledged(), int64(4))
+		i.restart()
+		d.view.ResetRegistry(c.registrations())
+		time.Sleep(restartSeenAfter)
+		c.submit(jobA, smallStep(1))
+		time.Sleep(2 * time.Second)
+		is.Equal(d.state(jobA), job.Completed)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		is.Equal(len(i.ended), 0)
+	})
+}
--- a/internal/owner/suspension_test.go
+++ b/internal/owner/suspension_test.go
@@ -102,3 +102,57 @@
 		}))
 	})
 }
+
+// Guards against an expiry that is put off by each order that is withheld while contact is
+// lost: nothing extends the lease then.
+func TestWithheldOrderMovesNoExpiry(t *testing.T) {
+	is := is.New(t)
+	u := peakUnit(1, 0, 0)
+	u.ctx, u.events = t.Context(), make(chan func(), 1)
+	u.Clock = func() time.Duration { return time.Minute }
+	u.Holds = func(ownership.Tenure) bool { return true }
+	sess := u.sessions["i-0"]
+	sess.ctx = u.ctx
+	sess.target.Store(&sess.reg)
+	sess.clock.Store(&clockReading{incarnation: 1})
+	sess.outOfContact.Store(true)
+	var result error
+	sess.sendOrder(order{
+		carriesLease: true, incarnation: 1,
+		send: func(context.Context, instance.Registration, time.Duration) error { return nil },
+		done: func(err error) { result = err },
+	})
+	(<-u.events)()
+	is.True(errors.Is(result, instance.ErrUnsent))
+	is.Equal(sess.leaseExpiry.Load(), int64(0))
+}
+
+// Guards against a record of lost contact by which the leases of runs that aren't bound
+// haven't expired: these count for longer than the others.
+func TestRecordedLossCoversUnboundRuns(t *testing.T) {
+	for _, bound := range []bool{true, false} {
+		inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+			c.instances["i-0"].duration = time.Hour
+			d := c.startOwner(64)
+			c.submit(jobA, longStep(1))
+			time.Sleep(500 * time.Millisecond)
+			var recorded, want time.Duration
+			is.NoErr(d.unit.do(c.ctx, func() {
+				sess := d.unit.sessions["i-0"]
+				for _, r := range sess.runs {
+					r.bound = bound
+				}
+				want = boundLease
+				if !bound {
+					want = unboundLease
+				}
+				sess.leaseExpiry.Store(int64(c.clock() + boundLease))
+				sess.unboundExpiry.Store(int64(c.clock() + unboundLease))
+				d.unit.onPollFailed(sess, instance.ErrUnknown, time.Now())
+				recorded = time.Until(time.UnixMilli(d.unit.contactLosses["i-0"].LapsedBy))
+			}))
+			is.True(recorded > want-2*time.Millisecond)
+			is.True(recorded <= want)
+		})
+	}
+}
