A policy is asked again about an instance that has restarted

A task waited for ever if its queue's policy had refused an instance that then came back under its ID as another kind, which the policy allows: the owner kept by the ID whom it had asked about. It is kept with the incarnation now, and each is asked about once. Whether policies heed what can change with a restart is the advisor's matter.

--- FAIL: TestPolicyIsAskedAgainAboutANewIncarnation ticket_test.go:64: queued != completed

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,10 +43,10 @@
 }
 
 // stepAdvice is the advice received for one step: the tickets by instance, and
-// the instances already queried.
+// the incarnations of the instances already queried.
 type stepAdvice struct {
 	tickets     map[string]ticket
-	requested   map[string]bool
+	requested   map[string]int64
 	inFlight    bool
 	requestedAt time.Time
 }
@@ -63,7 +64,7 @@
 	id := StepID{Job: c.Job, Occurrence: c.Occurrence, Step: c.Number}
 	a := u.advice[id]
 	if a == nil {
-		a = &stepAdvice{tickets: map[string]ticket{}, requested: map[string]bool{}}
+		a = &stepAdvice{tickets: map[string]ticket{}, requested: map[string]int64{}}
 		u.advice[id] = a
 	}
 	valid := map[string]string{}
@@ -80,13 +81,14 @@
 
 // adviceTargets returns the instances to query, at most adviceBatch: first
 // those allowed before, since the policy's answer doesn't change and only the
-// ticket has expired, then those not queried yet.
+// ticket has expired, then those not queried yet. An instance that has restarted may be of
+// another kind.
 func (u *Unit) adviceTargets(a *stepAdvice, pool string, now time.Time) []string {
 	var allowed, unqueried []string
 	for _, n := range u.nodes(pool, now) {
 		if _, known := a.tickets[n.ID]; known {
 			allowed = append(allowed, n.ID)
-		} else if !a.requested[n.ID] {
+		} else if incarnation, known := a.requested[n.ID]; !known || incarnation != u.incarnationOf(n.ID) {
 			unqueried = append(unqueried, n.ID)
 		}
 	}
@@ -128,9 +130,7 @@
 		u.Logger.Warn("advice.failed", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("instances", len(asked)), zap.Error(err))
 		return
 	}
-	for name := range asked {
-		a.requested[name] = true
-	}
+	maps.Copy(a.requested, asked)
 	for instance, text := range advice.Tickets {
 		a.tickets[instance] = ticket{text: text, incarnation: asked[instance], until: requestedAt.Add(advice.Valid - ticketMargin)}
 	}
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -95,8 +95,10 @@
 	view *fleetview.View
 	// adviceQueries counts the instances named in requests for advice.
 	adviceQueries int
-	pacePercents  []int
-	transit       transit
+	// refusedByPolicy makes the advisor allow no instance.
+	refusedByPolicy bool
+	pacePercents    []int
+	transit         transit
 	// suspension is how long the caller of the next check of the tenure is suspended once it
 	// has the result.
 	suspension time.Duration
@@ -320,6 +322,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.adviceQueries += len(instances)
+	if d.refusedByPolicy {
+		return Advice{Valid: 3 * time.Second}, nil
+	}
 	return Advice{Tickets: map[string]string{"i-0": d.cluster.instances["i-0"].ticket()}, Valid: 3 * time.Second}, nil
 }
 
--- a/internal/owner/ticket_test.go
+++ b/internal/owner/ticket_test.go
@@ -42,3 +42,28 @@
 		is.Equal(i.invalidTickets, 0)
 	})
 }
+
+// Guards against a task that waits for ever although its policy allows an instance: it was
+// refused for the former incarnation, which was of another kind, and isn't asked about again.
+func TestPolicyIsAskedAgainAboutANewIncarnation(t *testing.T) {
+	inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+		c.catalog.Queues[testQueue].Advised = true
+		d := c.startOwner(64)
+		d.mu.Lock()
+		d.refusedByPolicy = true
+		d.mu.Unlock()
+		c.submit(jobA, smallStep(1))
+		time.Sleep(3 * time.Second)
+		d.mu.Lock()
+		is.Equal(d.adviceQueries, 1)
+		d.refusedByPolicy = false // of the next incarnation
+		d.mu.Unlock()
+		c.restart("i-0")
+		d.view.ResetRegistry(c.registrations())
+		time.Sleep(5 * time.Second)
+		is.Equal(d.state(jobA), job.Completed)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		is.Equal(d.adviceQueries, 2)
+	})
+}
