A restarted daemon doesn't wait for its former incarnation

Units had no owner, so jobs waited for ever: a weak daemon stays out of the group while a stronger owner's address answers. If the only strong owner restarts at its address with less than 1/1.5 of its processor share, the store lists its former incarnation until a member joins, and the daemon itself answers there: it and all other weak daemons stay out. A daemon now ignores rows of its own address, joins, and so ends the listing of the former one.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -311,6 +311,7 @@
 		m.logger.Warn("ownership.owners_unknown", zap.Error(err))
 		return
 	}
+	own, _, _ := strings.Cut(m.name, nameSeparator)
 	owners := map[int]string{}
 	stronger := map[string]bool{}
 	var addresses []string
@@ -318,7 +319,9 @@
 		parts := strings.Split(row.Member, nameSeparator)
 		owners[row.Partition] = parts[0]
 		strength, err := strconv.ParseFloat(parts[len(parts)-1], 64)
-		if err == nil && strength > strongerFactor*m.strength && !stronger[row.Member] {
+		// A row of this daemon's address is of a former incarnation, for which this one
+		// answers.
+		if err == nil && parts[0] != own && strength > strongerFactor*m.strength && !stronger[row.Member] {
 			stronger[row.Member] = true
 			addresses = append(addresses, parts[0])
 		}
