--- a/internal/owner/withdrawn_test.go
+++ b/internal/owner/withdrawn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryltide/beryltide/internal/instance"
 	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/ownership"
 )
 
 // longQueue returns a step with so many tasks that most of their starts wait to be sent.
@@ -88,3 +89,76 @@
 		is.Equal(d.state(jobA), job.Completed)
 	})
 }
+
+// Guards against a start that is sent for a run which was given up while its sender was
+// suspended, after it had found the run wanted: here while it reads the clock.
+func TestStartIsClaimedAfterItsLeaseIsExtended(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		givenUp bool
+		err     error
+		sent    int
+	}{{"the run is wanted", false, nil, 1}, {"the run is given up", true, errWithdrawn, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			u := peakUnit(1, 0, 0)
+			u.ctx, u.events = t.Context(), make(chan func(), 1)
+			u.Holds = func(ownership.Tenure) bool { return true }
+			sess, r := u.sessions["i-0"], &run{}
+			u.Clock = func() time.Duration {
+				if test.givenUp {
+					r.withdraw()
+				}
+				return time.Minute
+			}
+			sess.ctx = u.ctx
+			sess.target.Store(&sess.reg)
+			sess.clock.Store(&clockReading{incarnation: 1})
+			var result error
+			sent := 0
+			sess.sendOrder(order{
+				carriesLease: true, incarnation: 1, starts: r, queuedAt: time.Now(),
+				send: func(context.Context, instance.Registration, time.Duration) error { sent++; return nil },
+				done: func(err error) { result = err },
+			})
+			(<-u.events)()
+			is.Equal(result, test.err)
+			is.Equal(sent, test.sent)
+		})
+	}
+}
+
+// Guards against a run that ends by an expiry which its start has just moved, and against
+// one that ends while its start may still be sent.
+func TestExpiryAndStartExcludeEachOther(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		inVirtualTime(t, 1, func(c *cluster, is *is.I) {
+			d := c.startOwner(64)
+			time.Sleep(500 * time.Millisecond)
+			is.NoErr(d.unit.do(c.ctx, func() {
+				sess := d.unit.sessions["i-0"]
+				r := &run{step: &job.Step{}, incarnation: sess.incarnation, bound: true}
+				sess.addRun(job.TaskID{Job: jobA}, r)
+				sess.lastContact = time.Now().Add(-time.Minute)
+				sess.leaseExpiry.Store(int64(c.clock()))
+				is.True(!sent || r.claim())
+				clock, reads := d.unit.Clock, 0
+				d.unit.Clock = func() time.Duration {
+					if reads++; reads == 2 {
+						sess.leaseExpiry.Store(int64(clock() + time.Second)) // by the sender
+					}
+					return clock()
+				}
+				d.unit.expireLeases(time.Now())
+				d.unit.Clock = clock
+				if sent {
+					is.Equal(len(sess.runs), 1)
+					sess.removeRun(job.TaskID{Job: jobA})
+				} else {
+					is.Equal(len(sess.runs), 0)
+					is.True(!r.claim())
+				}
+			}))
+		})
+	}
+}
