--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -21,8 +21,8 @@
 	// minClockRate is the slowest rate at which an instance's clock may run.
 	minClockRate = 0.98
 	// maxOrderTransit is the longest time from when a lease is computed for an order that
-	// isn't bound until an incarnation has the order. After the time-outs of a call, at most 1.9 s, its
-	// connection is reset.
+	// isn't bound until an incarnation has the order. After the time-outs of a call, at most
+	// 1.9 s, its connection is reset.
 	maxOrderTransit = 2 * time.Second
 )
 
