The soak's further rounds wait until tasks run at the restarted instances

Rounds beyond the fourth, which are played until the fault has taken effect, now last 2 s longer before the cut, and there is time for two more.

--- a/tools/soak/series.go
+++ b/tools/soak/series.go
@@ -23,7 +23,10 @@
 	// minRounds is how many rounds a seed plays; it plays further ones, which begin within
 	// seriesTimeout of the last other fault, until both kinds have taken effect.
 	minRounds     = 4
-	seriesTimeout = 2 * effectTimeout
+	seriesTimeout = 3 * effectTimeout
+	// noticeTime is longer than an owner takes to notice a restart in silence, before which
+	// it starts nothing there. It is added in the further rounds, so that tasks run there.
+	noticeTime = 2 * time.Second
 	// pastLeaseCut is longer than any lease at an instance that is cut off.
 	pastLeaseCut = maxLeaseMS*time.Millisecond + 500*time.Millisecond
 	// takeoverLead is how long before a restart the owner is paused that continues after
@@ -100,6 +103,9 @@
 	// Starts reach the instances before the owner is lost.
 	r.daemonAt = r.run/2 + between(random, 0, r.run/2)
 	r.daemonFor = between(random, 300*time.Millisecond, 5*time.Second)
+	if n >= minRounds {
+		r.run += noticeTime
+	}
 	if n == 0 || n >= minRounds {
 		r.cutFor = pastLeaseCut
 		return r
