--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -28,8 +28,8 @@
 	callBytes     = 2_097_152
 )
 
-// zones are the data centres.
-var zones = []string{"z0", "z1", "z2"}
+// dataCentres are those of daemons and instances.
+var dataCentres = []string{"z0", "z1", "z2"}
 
 // harness holds one seed's daemon processes and the simulated store and instances.
 type harness struct {
@@ -106,7 +106,7 @@
 
 // addInstance starts an instance with a proxy and lists it in the store.
 func (h *harness) addInstance(n int, all *gangs, runTime time.Duration) error {
-	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], zone: zones[n/2%len(zones)], runTime: runTime}
+	i := &instance{checker: h.checker, gangs: all, id: fmt.Sprintf("i-%d", n), pool: []string{firstPool, secondPool}[n%2], dataCentre: dataCentres[n/2%len(dataCentres)], runTime: runTime}
 	i.restart(n / 2 % len(kindCPUs))
 	address, err := serveLocal(i.handler(), i.connContext)
 	if err != nil {
@@ -142,7 +142,7 @@
 func (h *harness) settings(n int, storeAddress string) fleetd.Settings {
 	listen := h.addresses.daemon(n)
 	return fleetd.Settings{
-		Instance: fmt.Sprintf("d-%d", n), DataCentre: zones[n%len(zones)], Callers: listen["callers"], Readiness: listen["readiness"],
+		Instance: fmt.Sprintf("d-%d", n), DataCentre: dataCentres[n%len(dataCentres)], Callers: listen["callers"], Readiness: listen["readiness"],
 		Peers: listen["peers"], Operations: listen["operations"], Store: storeAddress, Machines: listen["machines"],
 		Units: unitCount, MemoryMB: 256, ProcessorShare: 1, DutiesPerSecond: 64, ListsPerSecond: 64,
 		RecordBytes: recordBytes, CallBytes: callBytes,
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -25,11 +25,11 @@
 // instance simulates an instance of the platform: it runs tasks under a fencing
 // token, a lease and run numbers.
 type instance struct {
-	checker *checker
-	gangs   *gangs
-	id      string
-	pool    string
-	zone    string
+	checker    *checker
+	gangs      *gangs
+	id         string
+	pool       string
+	dataCentre string
 	// address is that of the proxy in front of the instance.
 	address string
 	mu      sync.Mutex
--- a/tools/soak/restarts.go
+++ b/tools/soak/restarts.go
@@ -59,7 +59,7 @@
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": i.pool, "address": i.address, "zone": i.zone, "state": state, "labels": []string{i.label, i.rack()},
+		"service": i.pool, "address": i.address, "zone": i.dataCentre, "state": state, "labels": []string{i.label, i.rack()},
 		"capacity": map[string]int{"cpu": i.cpu, "mem_mb": 8000}, "born": i.startedAt.UnixMilli(),
 	})
 	if err != nil {
--- a/tools/soak/series.go
+++ b/tools/soak/series.go
@@ -48,8 +48,8 @@
 // round is one round of a series: the instances of some pools in a data centre restart,
 // and are cut off from all daemons while long tasks run there.
 type round struct {
-	zone  string
-	pools []string
+	dataCentre string
+	pools      []string
 	// restartedAt is when the instances restarted, and shown what the round has shown.
 	restartedAt time.Time
 	shown       string
@@ -79,7 +79,7 @@
 
 func (r *round) String() string {
 	return fmt.Sprintf("instances of %v in %s restart in %s, are cut off (%s) %s later for %s; refuses=%t again=%s delay=%s at_cut=%t killed=%t paused=%t resumed=%t: %s",
-		r.pools, r.zone, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.lateAtCut, r.killed, r.paused, r.resumed, r.shown)
+		r.pools, r.dataCentre, r.down, r.cutMode, r.run, r.cutFor, r.refuses, r.again, r.startDelay, r.lateAtCut, r.killed, r.paused, r.resumed, r.shown)
 }
 
 // between draws a time.
@@ -90,15 +90,15 @@
 // drawRound draws round n of a seed. The first one, and those after minRounds, have
 // restarts and a cut alone, in which all leases end. The second one kills the owner
 // between them. The order and number of the draws fix a seed's rounds.
-func drawRound(random *rand.Rand, n int, zone string) *round {
+func drawRound(random *rand.Rand, n int, dataCentre string) *round {
 	r := &round{
-		zone:    zone,
-		pools:   [][]string{{firstPool}, {secondPool}, {firstPool, secondPool}}[random.IntN(3)],
-		down:    between(random, 300*time.Millisecond, 800*time.Millisecond),
-		run:     between(random, 500*time.Millisecond, 3*time.Second),
-		cutFor:  between(random, 7*time.Second, 10*time.Second),
-		cutMode: silent,
-		killed:  n == 1,
+		dataCentre: dataCentre,
+		pools:      [][]string{{firstPool}, {secondPool}, {firstPool, secondPool}}[random.IntN(3)],
+		down:       between(random, 300*time.Millisecond, 800*time.Millisecond),
+		run:        between(random, 500*time.Millisecond, 3*time.Second),
+		cutFor:     between(random, 7*time.Second, 10*time.Second),
+		cutMode:    silent,
+		killed:     n == 1,
 	}
 	// Starts reach the instances before the owner is lost.
 	r.daemonAt = r.run/2 + between(random, 0, r.run/2)
@@ -133,7 +133,7 @@
 // that started after a restart to lapse.
 func (h *harness) restartsInSeries(ctx context.Context) []string {
 	random := rand.New(rand.NewPCG(h.seed, 2))
-	first := random.IntN(len(zones))
+	first := random.IntN(len(dataCentres))
 	var rounds []*round
 	drawn, _ := ctx.Deadline()
 	var wg sync.WaitGroup
@@ -143,7 +143,7 @@
 		if n >= minRounds && h.checker.seenEffect(seriesKind) && h.checker.seenEffect(restartCutKind) {
 			break
 		}
-		r := drawRound(random, n, zones[(first+n)%len(zones)])
+		r := drawRound(random, n, dataCentres[(first+n)%len(dataCentres)])
 		rounds = append(rounds, r)
 		h.checker.drew(seriesKind)
 		wg.Go(func() { h.play(r) })
@@ -170,7 +170,7 @@
 	var at []int
 	for n, i := range h.instances {
 		for _, pool := range r.pools {
-			if n != drainingInstance && i.pool == pool && i.zone == r.zone {
+			if n != drainingInstance && i.pool == pool && i.dataCentre == r.dataCentre {
 				at = append(at, n)
 			}
 		}
