--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -25,6 +25,7 @@
 var stateEvents = map[string]bool{
 	"job.accepted": true, "job.state": true, "job.cancelled": true, "job.cancel_accepted": true,
 	"request.refused": true, "job.refused_by_outlook": true, "run.ended": true, "run.stop": true, "run.hung": true,
+	"long_running.placed": true, "long_running.waits": true,
 }
 
 // NewBounded returns a logger for a daemon's standard output. It writes an event as
--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -17,7 +17,11 @@
 // configuration and the age of the registry that the decision is based on.
 func (u *Unit) logPlaced(c *schedule.Candidate, tasks int, nodes map[string]bool, now time.Time) {
 	// At a peak most of these lines are left out: then their fields cost nothing.
-	line := u.Logger.Check(zap.InfoLevel, "tasks.placed")
+	event := "tasks.placed"
+	if c.Step.Lasting {
+		event = "long_running.placed"
+	}
+	line := u.Logger.Check(zap.InfoLevel, event)
 	if line == nil {
 		return
 	}
@@ -50,19 +54,35 @@
 			u.logPlaced(c, n, instances[s], now)
 		}
 		if counts[s] < len(c.Tasks) {
-			u.logWaits(c, nodes)
+			u.logWaits(c, nodes, now)
 			u.logPutBehind(c, now)
 		}
 	}
 }
 
-// logWaits logs, once per job, why a task of it waits.
-func (u *Unit) logWaits(c *schedule.Candidate, nodes []*schedule.Node) {
+// longRunningWaitInterval is the time from one line to the next about a step with
+// long-running tasks that wait.
+const longRunningWaitInterval = 2 * time.Second
+
+// logWaits logs, once per job, why a task of it waits, and again and again while
+// long-running tasks wait.
+func (u *Unit) logWaits(c *schedule.Candidate, nodes []*schedule.Node, now time.Time) {
 	e := u.jobs[c.Job]
-	if e == nil || e.waitLogged {
+	if e == nil {
 		return
 	}
-	e.waitLogged = true
+	if !e.waitLogged {
+		e.waitLogged = true
+		u.Logger.Info("job.waits", u.describeWait(c, nodes)...)
+	}
+	if c.Step.Lasting && now.Sub(c.WaitingSince) >= longRunningWaitInterval && now.Sub(e.longRunningLogged) >= longRunningWaitInterval {
+		e.longRunningLogged = now
+		u.Logger.Warn("long_running.waits", append(u.describeWait(c, nodes), zap.Int("tasks", len(c.Tasks)), zap.Int("of", c.Step.Count),
+			zap.Int("per_instance", c.Step.PerInstance), zap.Int("may_miss", c.Step.MayMiss), zap.Duration("waited", now.Sub(c.WaitingSince)))...)
+	}
+}
+
+func (u *Unit) describeWait(c *schedule.Candidate, nodes []*schedule.Node) []zap.Field {
 	totalFree, mostFree := 0, job.Resources{}
 	for _, n := range nodes {
 		totalFree += max(n.Free.CPU, 0)
@@ -70,26 +90,36 @@
 			mostFree = n.Free
 		}
 	}
-	reason := "room"
-	switch {
-	case len(nodes) == 0:
-		reason = "no usable instance"
-	case c.Allowance != nil && !c.Step.Need.Fits(*c.Allowance):
-		reason = "the team's limit"
-	case c.Tickets != nil && len(c.Tickets) == 0:
-		reason = "advice"
-	case c.HeldBack:
-		reason = "the team's share"
-	}
 	fields := []zap.Field{
-		zap.String("job", c.Job), zap.Int("step", c.Number), zap.String("reason", reason), zap.Int("need_cpu", c.Step.Need.CPU), zap.Int("need_mem", c.Step.Need.Memory),
+		zap.String("job", c.Job), zap.Int("step", c.Number), zap.String("reason", waitReason(c, nodes)), zap.Int("need_cpu", c.Step.Need.CPU), zap.Int("need_mem", c.Step.Need.Memory),
 		zap.Int("instances", len(nodes)), zap.Int("free_cpu", totalFree), zap.Int("most_free_cpu", mostFree.CPU), zap.Int("class", int(c.Class)),
 		zap.Int64("configuration", u.View.Catalog().Version), zap.Duration("registry_age", u.View.RegistryAge()),
 	}
 	if c.Allowance != nil {
 		fields = append(fields, zap.Int("allowance_cpu", c.Allowance.CPU), zap.Int("allowance_mem", c.Allowance.Memory), zap.Int64("lead", u.allowances.leader))
 	}
-	u.Logger.Info("job.waits", fields...)
+	return fields
+}
+
+// waitReason returns why a candidate's next task waits. Where instances have free capacity
+// for it, that is the constraint that keeps it from one of them.
+func waitReason(c *schedule.Candidate, nodes []*schedule.Node) string {
+	switch {
+	case len(nodes) == 0:
+		return "no usable instance"
+	case c.Allowance != nil && !c.Step.Need.Fits(*c.Allowance):
+		return "the team's limit"
+	case c.Tickets != nil && len(c.Tickets) == 0:
+		return "advice"
+	case c.HeldBack:
+		return "the team's share"
+	}
+	for _, n := range nodes {
+		if excluded := c.Exclusion(n); excluded != schedule.Allowed && c.Step.Allocation().Fits(n.Free) {
+			return string(excluded)
+		}
+	}
+	return "room"
 }
 
 // logPutBehind logs why a waiting job starts after others while its pool is short, each
--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -27,6 +27,8 @@
 // poolGauges are a unit's gauges of one of its pools.
 type poolGauges struct {
 	waiting, runs, instances, usable int
+	// longRunningWaiting counts the waiting long-running tasks.
+	longRunningWaiting int
 	// expectedCores is how many cores the forecast work is expected to keep busy.
 	expectedCores float64
 }
@@ -34,6 +36,7 @@
 func (m *Meter) setPoolGauges(pool string, g poolGauges) {
 	s := m.scope.Tagged(map[string]string{"pool": pool})
 	s.Gauge("pool_waiting_tasks").Update(float64(g.waiting))
+	s.Gauge("pool_waiting_long_running_tasks").Update(float64(g.longRunningWaiting))
 	s.Gauge("pool_runs").Update(float64(g.runs))
 	s.Gauge("pool_instances").Update(float64(g.instances))
 	s.Gauge("pool_usable_instances").Update(float64(g.usable))
@@ -106,6 +109,9 @@
 		g := pools[pool]
 		for _, c := range candidates {
 			g.waiting += len(c.Tasks)
+			if c.Step.Lasting {
+				g.longRunningWaiting += len(c.Tasks)
+			}
 		}
 		pools[pool] = g
 	}
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -192,6 +192,8 @@
 	startRecorded bool
 	// waitLogged reports that the reason why the job waits has been logged.
 	waitLogged bool
+	// longRunningLogged is when a wait of its long-running tasks was last logged.
+	longRunningLogged time.Time
 	// putBehind is the reason last logged for which the job starts after others.
 	putBehind  string
 	finishedAt time.Time
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -366,18 +366,4 @@
 
 // feasible reports whether the step's constraints allow a node, free capacity
 // aside.
-func (c *Candidate) feasible(n *Node) bool {
-	for _, label := range c.Step.Labels {
-		if !slices.Contains(n.Labels, label) {
-			return false
-		}
-	}
-	if c.Step.PerInstance > 0 && c.Placed[n.ID] >= c.Step.PerInstance {
-		return false
-	}
-	if c.Tickets == nil {
-		return true
-	}
-	_, ok := c.Tickets[n.ID]
-	return ok
-}
+func (c *Candidate) feasible(n *Node) bool { return c.Exclusion(n) == Allowed }
