--- /dev/null
+++ b/internal/owner/instance_limit_test.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/machine"
+	"github.com/beryltide/beryltide/internal/rebalance"
+)
+
+const sparePool = "spare"
+
+// limitedUnit is a unit whose instances of 16 cores each run two tasks of a long-running
+// step, as many as may run on one instance, and nothing else.
+func limitedUnit(instances int) (*Unit, *entry) {
+	u := peakUnit(instances, 0, 0)
+	u.loaded = true
+	step := job.Step{Count: 2 * instances, Lasting: true, Need: job.Resources{CPU: 1000, Memory: 1000}, PerInstance: 2, MayMiss: 1}
+	e := newEntry(&job.Submission{ID: "service", Queue: testQueue, Pool: testPool, Steps: []job.Step{step}})
+	u.addEntry(e)
+	e.job.Advance(time.Now())
+	for _, sess := range u.sessions {
+		clear(sess.runs)
+		sess.usage = usage{}
+	}
+	for index := range step.Count {
+		u.startAt(e, index, fmt.Sprint("i-", index/2))
+	}
+	u.measureInstances()
+	return u, e
+}
+
+func (u *Unit) startAt(e *entry, index int, at string) {
+	id := job.TaskID{Job: e.job.ID(), Index: index}
+	e.job.Place(id, 1, job.Placement{Instance: at})
+	u.sessions[at].addRun(id, &run{number: 1, need: e.job.Step(id).Allocation(), step: e.job.Step(id), resolvedAt: time.Now(), percent: servingPercent})
+}
+
+// ordered returns how many machines of the spare pool the leader sends to the unit's pool.
+func ordered(u *Unit, now time.Time) int {
+	s := rebalance.Snapshot{
+		Machines: map[string]machine.Machine{}, Demand: map[string]rebalance.Demand{testPool: u.demand(testPool, now)},
+		SparePool: sparePool, BaseSizes: map[string]int{testPool: len(u.sessions)},
+	}
+	for id, sess := range u.sessions {
+		s.Machines["m-"+id] = machine.Machine{Name: "m-" + id, Pool: testPool, State: machine.Up, Instance: id, Capacity: sess.reg.Capacity}
+	}
+	for n := range 4 {
+		name := fmt.Sprint("m-spare-", n)
+		s.Machines[name] = machine.Machine{Name: name, Pool: sparePool, State: machine.Up, Capacity: job.Resources{CPU: 16_000, Memory: 32_000}}
+	}
+	moves := 0
+	for _, m := range rebalance.Plan(s) {
+		if m.To == testPool {
+			moves++
+		}
+	}
+	return moves
+}
+
+// A long-running task was stopped to empty its instance, and the limit of tasks on one
+// instance kept it from all others, which had free capacity: it had no run until the pool's
+// next demand peak.
+func TestLimitOnOneInstanceLeavesALongRunningTaskWithoutARun(t *testing.T) {
+	is := is.New(t)
+	u, e := limitedUnit(3)
+	now := time.Now()
+	is.Equal(ordered(u, now), 0)
+	u.sessions["i-0"].cordonRenewedAt = now
+	id := job.TaskID{Job: "service"}
+	u.endRun(u.sessions["i-0"], id, job.EndStopped, "", now)
+	u.plan(now)
+	is.Equal(e.job.Task(id).Phase, job.Waiting)
+	is.Equal(ordered(u, now), 1)
+}
