Maintenance doesn't stop a task that keeps its instance from being emptied

A long-running task was stopped to empty its instance although no other instance had a place for it and the disruption budget kept the next task of its step there: the instance could not be emptied, and the task had no run meanwhile. Where no machine can come (no spare pool, or none that is free) that had no end.

Such a task now stays until another instance has a place, and its instance counts among the missing ones, so that a machine comes first. A budget for all of the step's tasks there lets them stop at once, as before.

--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beryltide/beryltide/internal/job"
+	"github.com/beryltide/beryltide/internal/schedule"
 )
 
 const (
@@ -38,10 +39,15 @@
 			return nil, ErrNotReady
 		}
 		now := time.Now()
+		nodes := map[string][]*schedule.Node{}
 		var empty []string
 		for _, id := range ids {
 			// An instance without a session has no known runs.
-			if sess := u.sessions[id]; sess == nil || u.release(sess, now) {
+			sess := u.sessions[id]
+			if sess != nil && nodes[sess.reg.Pool] == nil {
+				nodes[sess.reg.Pool] = u.nodes(sess.reg.Pool, now)
+			}
+			if sess == nil || u.release(sess, nodes[sess.reg.Pool], now) {
 				empty = append(empty, id)
 			}
 		}
@@ -49,7 +55,9 @@
 	})
 }
 
-func (u *Unit) release(sess *session, now time.Time) bool {
+// release cordons an instance, and returns whether it is empty. The nodes are those of its
+// pool.
+func (u *Unit) release(sess *session, nodes []*schedule.Node, now time.Time) bool {
 	if !sess.cordoned(now) {
 		sess.cordonedSince = now
 		u.Logger.Info("instance.cordoned", zap.String("instance", sess.reg.ID), zap.Int("runs", len(sess.runs)))
@@ -61,7 +69,7 @@
 	for id, r := range sess.runs {
 		switch {
 		case r.stopping || r.resolvedAt.IsZero():
-		case r.step.Lasting && u.canSpare(id, r):
+		case r.step.Lasting && u.canSpare(id, r) && (u.hasPlace(id, r, sess, nodes) || u.canSpareAll(id, r, sess)):
 			u.sendStop(sess, id, r, "maintenance")
 		case !r.step.Lasting && now.Sub(sess.cordonedSince) > emptyTimeout:
 			u.sendStop(sess, id, r, "maintenance")
@@ -92,6 +100,25 @@
 	return unavailable < r.step.MayMiss
 }
 
+// canSpareAll reports whether the step's disruption budget allows all of its tasks at an
+// instance to be away at once. If it doesn't, one without another place would stay away: the
+// instance can't be emptied of the next one.
+func (u *Unit) canSpareAll(id job.TaskID, r *run, sess *session) bool {
+	e := u.jobs[id.Job]
+	if r.step.MayMiss == 0 || e == nil {
+		return true
+	}
+	away := 0
+	for index := range r.step.Count {
+		other := id
+		other.Index = index
+		if sess.runs[other] != nil || !u.serving(e, other) {
+			away++
+		}
+	}
+	return away <= r.step.MayMiss
+}
+
 // serving reports whether a long-running task is known to serve.
 func (u *Unit) serving(e *entry, id job.TaskID) bool {
 	task := e.job.Task(id)
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -38,7 +38,7 @@
 		d.ArrivingCPU = int(a.cores(now, u.Bounds.Move) * 1000)
 	}
 	nodes := u.nodes(pool, now)
-	smallest := u.addWaiting(&d, pool, nodes)
+	smallest := u.addWaiting(&d, pool, nodes, now)
 	for _, n := range nodes {
 		d.UsableCPU += n.Capacity.CPU
 		d.FreeCPU += freeCPU(n.Free, n.Capacity, smallest)
@@ -49,7 +49,7 @@
 
 // addWaiting adds the waiting tasks that more machines could run, and returns the
 // smallest need of one for each resource; 0 if there is none.
-func (u *Unit) addWaiting(d *rebalance.Demand, pool string, nodes []*schedule.Node) (smallest job.Resources) {
+func (u *Unit) addWaiting(d *rebalance.Demand, pool string, nodes []*schedule.Node, now time.Time) (smallest job.Resources) {
 	size := u.meanInstance[pool]
 	var waiting, lasting occupancy
 	var startable []*schedule.Candidate
@@ -80,7 +80,7 @@
 		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
 		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
-	for _, m := range schedule.MissingInstances(startable, nodes, size) {
+	for _, m := range schedule.MissingInstances(append(startable, u.leavingCandidates(pool, now)...), nodes, size) {
 		d.Missing = append(d.Missing, rebalance.Missing(m))
 	}
 	d.WaitingCPU, d.WaitingLastingCPU = waiting.largest(), lasting.largest()
--- a/internal/owner/instance_limit_test.go
+++ b/internal/owner/instance_limit_test.go
@@ -77,3 +77,30 @@
 	is.Equal(e.job.Task(id).Phase, job.Waiting)
 	is.Equal(ordered(u, now), 1)
 }
+
+// Maintenance stopped a task that had no other place, though the disruption budget kept the
+// next one there: the instance could not be emptied, and the task had no run meanwhile.
+func TestTaskWithoutAnotherPlaceIsStoppedOnlyToEmptyItsInstance(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ mayMiss, stopped int }{{1, 0}, {2, 2}} {
+		u, e := limitedUnit(3)
+		e.job.Submission.Steps[0].MayMiss = c.mayMiss
+		now := time.Now()
+		sess := u.sessions["i-0"]
+		is.True(!u.release(sess, u.nodes(testPool, now), now))
+		is.True(!u.release(sess, u.nodes(testPool, now), now))
+		stopped := 0
+		for _, r := range sess.runs {
+			if r.stopping {
+				stopped++
+			}
+		}
+		is.Equal(stopped, c.stopped)
+		is.Equal(ordered(u, now) == 1, stopped == 0) // the tasks move once the machine is there
+	}
+	u, _ := limitedUnit(4)
+	now := time.Now()
+	u.endRun(u.sessions["i-3"], job.TaskID{Job: "service", Index: 7}, job.EndDone, "", now)
+	u.release(u.sessions["i-0"], u.nodes(testPool, now), now)
+	is.Equal(ordered(u, now), 1) // one of its two tasks has a place
+}
