A machine stays for the task that it came for

A task that has to move is stopped only once another instance has a place for it, so the machine that came for it was idle meanwhile, and could be switched off or sent to a peak before the task started there. Owners now mark the instances with places for tasks that wait or have to move, and the leader leaves these where they are. TestAwaitedMachineStays fails without the mark (1 != 0: a machine moves).

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -80,9 +80,15 @@
 		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
 		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
-	for _, m := range schedule.MissingInstances(append(startable, u.leavingCandidates(pool, now)...), nodes, size) {
+	missing, awaited := schedule.MissingInstances(append(startable, u.leavingCandidates(pool, now)...), nodes, size)
+	for _, m := range missing {
 		d.Missing = append(d.Missing, rebalance.Missing(m))
 	}
+	for id := range awaited {
+		i := d.Instances[id]
+		i.Awaited = true
+		d.Instances[id] = i
+	}
 	d.WaitingCPU, d.WaitingLastingCPU = waiting.largest(), lasting.largest()
 	return smallest
 }
--- a/internal/rebalance/consolidate.go
+++ b/internal/rebalance/consolidate.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		size++
-		if i.Lasting == 0 && i.Backfill == 0 {
+		if i.Lasting == 0 && i.Backfill == 0 && !i.Awaited {
 			out = append(out, m)
 		}
 	}
--- a/internal/rebalance/missing_test.go
+++ b/internal/rebalance/missing_test.go
@@ -64,3 +64,19 @@
 	s.Machines["m-spare-1"] = m
 	is.Equal(len(Plan(s)), 0)
 }
+
+// Guards against a machine that is switched off, or moved to a peak, before the task that it
+// came for starts there.
+func TestAwaitedMachineStays(t *testing.T) {
+	is := is.New(t)
+	for _, want := range []int{1, 0} {
+		s := fleet(map[string]int{"held": 3, "peak": 2, spare: 0})
+		s.BaseSizes["held"] = 2
+		s.addBacklog("peak", 16000*6, 40)
+		for id, i := range s.Demand["held"].Instances {
+			i.Awaited, i.Usable = want == 0, true
+			s.Demand["held"].Instances[id] = i
+		}
+		is.Equal(len(Plan(s)), want)
+	}
+}
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -42,6 +42,8 @@
 	Lasting, Backfill int
 	// Usable instances may be given tasks.
 	Usable bool
+	// Awaited instances have a place for a task that waits or has to move.
+	Awaited bool
 	// IdleFor is how long the instance has had no run; 0 while it has one.
 	IdleFor time.Duration
 }
@@ -213,7 +215,7 @@
 			continue
 		}
 		i, listed := d.Instances[m.Instance]
-		if !listed || i.Runs > 0 || i.IdleFor < atLeast {
+		if !listed || i.Runs > 0 || i.Awaited || i.IdleFor < atLeast {
 			continue
 		}
 		if !s.OutOfService[m.DataCentre] {
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -18,8 +18,9 @@
 // MissingInstances returns the further instances, of the given size, that the candidates
 // need: those for tasks that could start at none of the nodes if all tasks there ended that
 // end by themselves. Steps with tickets aren't counted, since it isn't known whether the
-// advisor allows a further instance, nor are gangs.
-func MissingInstances(candidates []*Candidate, nodes []*Node, size job.Resources) []Missing {
+// advisor allows a further instance, nor are gangs. It also returns the IDs of the nodes with
+// places for the others.
+func MissingInstances(candidates []*Candidate, nodes []*Node, size job.Resources) (missing []Missing, awaited map[string]bool) {
 	present := make([]host, len(nodes))
 	for i, n := range nodes {
 		present[i] = host{id: n.ID, labels: n.Labels, left: n.Capacity.Sub(n.LongRunning)}
@@ -42,7 +43,13 @@
 			further = append(further, h)
 		}
 	}
-	return group(further)
+	awaited = map[string]bool{}
+	for i := range present {
+		if present[i].taken {
+			awaited[present[i].id] = true
+		}
+	}
+	return group(further), awaited
 }
 
 // host is a node, or a further instance, with what is left of it beside long-running tasks.
@@ -51,6 +58,8 @@
 	id     string
 	labels []string
 	left   job.Resources
+	// taken: it has taken a task.
+	taken bool
 	// longRunning counts the long-running tasks that it has taken by step, largest is the
 	// largest of all tasks.
 	longRunning map[StepKey]int
@@ -88,7 +97,7 @@
 		h.longRunning[c.Key()]++
 		h.left = h.left.Sub(need)
 	}
-	h.largest = h.largest.Max(need)
+	h.taken, h.largest = true, h.largest.Max(need)
 	return true
 }
 
--- a/internal/schedule/missing_test.go
+++ b/internal/schedule/missing_test.go
@@ -46,7 +46,18 @@
 		{"no ticket yet", nil, []*Candidate{{Job: "j", Step: &limited, Tasks: make([]Task, 1), Tickets: map[string]string{}}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is.New(t).Equal(MissingInstances(c.of, c.nodes, size), c.want)
+			missing, _ := MissingInstances(c.of, c.nodes, size)
+			is.New(t).Equal(missing, c.want)
 		})
 	}
 }
+
+// Guards against a machine that is taken away before the task that it came for starts there.
+func TestNodesWithPlacesAreAwaited(t *testing.T) {
+	is := is.New(t)
+	size := job.Resources{CPU: 16_000}
+	c := &Candidate{Job: "j", Step: &job.Step{Lasting: true, Need: job.Resources{CPU: 1000}, PerInstance: 1}, Tasks: make([]Task, 2), Placed: map[string]int{"a": 1}}
+	missing, awaited := MissingInstances([]*Candidate{c}, []*Node{{ID: "a", Capacity: size}, {ID: "b", Capacity: size}}, size)
+	is.Equal(awaited, map[string]bool{"b": true})
+	is.Equal(missing, []Missing{{Need: c.Step.Need, Instances: 1}})
+}
