Instances that replace a lost one are ordered before its leases expire

The long-running tasks of a lost instance may start elsewhere when its leases have expired, after 6.3 s. If the limit on one instance left them no place, a machine was ordered only then, and they had no run for two seconds longer. They count as tasks that have to move once the instance has been out of contact for as long as keeps new tasks from it.

--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -129,6 +129,12 @@
 	u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: key, Value: value})
 }
 
+// lost reports whether the instance has been out of contact for so long that it gets no new
+// tasks.
+func (s *session) lost(now time.Time) bool {
+	return s.unreachable && s.silentFor(now) >= contactTimeout
+}
+
 // silentFor returns the time since the instance last answered this tenure, or
 // since this tenure learned of it.
 func (s *session) silentFor(now time.Time) time.Duration {
--- a/internal/owner/instance_limit_test.go
+++ b/internal/owner/instance_limit_test.go
@@ -104,3 +104,15 @@
 	u.release(u.sessions["i-0"], u.nodes(testPool, now), now)
 	is.Equal(ordered(u, now), 1) // one of its two tasks has a place
 }
+
+// Guards against a machine that is ordered only once the leases of a lost instance have
+// expired: its long-running tasks then had no run for two seconds longer.
+func TestLostInstanceIsReplacedBeforeItsLeasesExpire(t *testing.T) {
+	is := is.New(t)
+	u, _ := limitedUnit(3)
+	now := time.Now()
+	sess := u.sessions["i-0"]
+	sess.unreachable, sess.lastContact = true, now.Add(-contactTimeout/2)
+	is.Equal(ordered(u, now), 0)
+	is.Equal(ordered(u, now.Add(contactTimeout)), 1)
+}
--- a/internal/owner/leaving.go
+++ b/internal/owner/leaving.go
@@ -37,12 +37,13 @@
 	return c
 }
 
-// leavingCandidates returns candidates for the long-running tasks at cordoned instances of a
-// pool: they need places elsewhere.
+// leavingCandidates returns candidates for the long-running tasks at cordoned and lost
+// instances of a pool: they need places elsewhere. A machine arrives well before the leases
+// of a lost instance have expired.
 func (u *Unit) leavingCandidates(pool string, now time.Time) []*schedule.Candidate {
 	var out []*schedule.Candidate
 	for _, sess := range u.sessions {
-		if sess.reg.Pool != pool || !sess.cordoned(now) || sess.usage.longRunning == 0 {
+		if sess.reg.Pool != pool || !sess.cordoned(now) && !sess.lost(now) || sess.usage.longRunning+sess.usage.backfill == 0 {
 			continue
 		}
 		for id, r := range sess.runs {
