--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -66,10 +66,11 @@
 	if !sess.reconciled {
 		return false
 	}
+	held := u.holdsTasks(sess, nodes)
 	for id, r := range sess.runs {
 		switch {
 		case r.stopping || r.resolvedAt.IsZero():
-		case r.step.Lasting && u.canSpare(id, r) && (u.hasPlace(id, r, sess, nodes) || u.canSpareAll(id, r, sess)):
+		case r.step.Lasting && u.canSpare(id, r) && (!held || u.hasPlace(id, r, sess, nodes)):
 			u.sendStop(sess, id, r, "maintenance")
 		case !r.step.Lasting && now.Sub(sess.cordonedSince) > emptyTimeout:
 			u.sendStop(sess, id, r, "maintenance")
@@ -100,9 +101,20 @@
 	return unavailable < r.step.MayMiss
 }
 
+// holdsTasks reports whether an instance can't be emptied, since a long-running task there
+// has no place elsewhere and its step can't spare it. Any other one that was stopped without
+// a place would stay away for as long.
+func (u *Unit) holdsTasks(sess *session, nodes []*schedule.Node) bool {
+	for id, r := range sess.runs {
+		if r.step.Lasting && !r.stopping && !u.canSpareAll(id, r, sess) && !u.hasPlace(id, r, sess, nodes) {
+			return true
+		}
+	}
+	return false
+}
+
 // canSpareAll reports whether the step's disruption budget allows all of its tasks at an
-// instance to be away at once. If it doesn't, one without another place would stay away: the
-// instance can't be emptied of the next one.
+// instance to be away at once.
 func (u *Unit) canSpareAll(id job.TaskID, r *run, sess *session) bool {
 	e := u.jobs[id.Job]
 	if r.step.MayMiss == 0 || e == nil {
--- a/internal/owner/instance_limit_test.go
+++ b/internal/owner/instance_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,8 +99,22 @@
 		is.Equal(stopped, c.stopped)
 		is.Equal(ordered(u, now) == 1, stopped == 0) // the tasks move once the machine is there
 	}
-	u, _ := limitedUnit(4)
+	u, e := limitedUnit(3)
 	now := time.Now()
+	// Its two tasks there may be away at once, but not those of another job.
+	other := newEntry(&job.Submission{ID: "other", Queue: testQueue, Pool: testPool, Steps: slices.Clone(e.job.Submission.Steps)})
+	e.job.Submission.Steps[0].MayMiss = 2
+	u.addEntry(other)
+	other.job.Advance(now)
+	for index := range other.job.Submission.Steps[0].Count {
+		u.startAt(other, index, fmt.Sprint("i-", index/2))
+	}
+	u.release(u.sessions["i-0"], u.nodes(testPool, now), now)
+	for _, r := range u.sessions["i-0"].runs {
+		is.True(!r.stopping)
+	}
+
+	u, _ = limitedUnit(4)
 	u.endRun(u.sessions["i-3"], job.TaskID{Job: "service", Index: 7}, job.EndDone, "", now)
 	u.release(u.sessions["i-0"], u.nodes(testPool, now), now)
 	is.Equal(ordered(u, now), 1) // one of its two tasks has a place
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -21,6 +21,9 @@
 // advisor allows a further instance, nor are gangs. It also returns the IDs of the nodes with
 // places for the others.
 func MissingInstances(candidates []*Candidate, nodes []*Node, size job.Resources) (missing []Missing, awaited map[string]bool) {
+	if len(candidates) == 0 {
+		return nil, nil
+	}
 	present := make([]host, len(nodes))
 	for i, n := range nodes {
 		present[i] = host{id: n.ID, labels: n.Labels, left: n.Capacity.Sub(n.LongRunning)}
