--- a/internal/rebalance/missing.go
+++ b/internal/rebalance/missing.go
@@ -30,7 +30,7 @@
 
 // serveMissing moves available machines to the pools with missing instances, before any
 // are divided by backlog: tasks that no present instance may run wait without end. It
-// returns the machines that are left, and the shortages that are.
+// returns the machines that are left and, as shortages, the instances still missing.
 func (s Snapshot) serveMissing(available []machine.Machine) (moves []Move, left []machine.Machine, unserved []shortage) {
 	left = available
 	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
