--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -64,8 +64,8 @@
 // long-running tasks that wait.
 const longRunningWaitInterval = 2 * time.Second
 
-// logWaits logs, once per job, why a task of it waits, and again and again while
-// long-running tasks wait.
+// logWaits logs, once per job, why a task of it waits, and each longRunningWaitInterval
+// while long-running ones do.
 func (u *Unit) logWaits(c *schedule.Candidate, nodes []*schedule.Node, now time.Time) {
 	e := u.jobs[c.Job]
 	if e == nil {
--- a/internal/owner/instance_limit_test.go
+++ b/internal/owner/instance_limit_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/beryltide/beryltide/internal/job"
 	"github.com/beryltide/beryltide/internal/machine"
 	"github.com/beryltide/beryltide/internal/rebalance"
+	"github.com/beryltide/beryltide/internal/schedule"
 )
 
 const sparePool = "spare"
@@ -131,3 +134,22 @@
 	is.Equal(ordered(u, now), 0)
 	is.Equal(ordered(u, now.Add(contactTimeout)), 1)
 }
+
+// Guards against a wait that operators can't see: its reason was "room" beside free capacity,
+// and was told once for each job.
+func TestWaitOfALongRunningTaskIsLogged(t *testing.T) {
+	is := is.New(t)
+	u, _ := limitedUnit(2)
+	core, logs := observer.New(zap.InfoLevel)
+	u.Logger = zap.New(core)
+	now := time.Now()
+	u.endRun(u.sessions["i-0"], job.TaskID{Job: "service"}, job.EndStopped, "", now)
+	for _, after := range []time.Duration{0, 1, 2, 3, 4} {
+		u.sessions["i-0"].cordonRenewedAt = now.Add(after * time.Second)
+		u.plan(now.Add(after * time.Second))
+	}
+	is.Equal(logs.FilterMessage("job.waits").Len(), 1)
+	waits := logs.FilterMessage("long_running.waits").All()
+	is.Equal(len(waits), 2) // at 2 and 4 s
+	is.Equal(waits[0].ContextMap()["reason"], string(schedule.ByInstanceLimit))
+}
