--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -85,6 +85,14 @@
 	return runTime
 }
 
+// percent returns the run's progress: long-running tasks are at work at once.
+func (r *taskRun) percent(runTime time.Duration) int {
+	if r.step().longRunning {
+		return 100
+	}
+	return int(100 * time.Since(r.startedAt) / r.duration(runTime))
+}
+
 // outcome returns how the run ends by itself.
 func (r *taskRun) outcome() job.End {
 	if r.run <= r.plan.failures {
@@ -336,7 +344,7 @@
 	i.listed = true
 	running, ended := [][]any{}, [][]any{}
 	for id, r := range i.runs {
-		running = append(running, []any{platform.TaskName(id), r.run, "", int(100 * time.Since(r.startedAt) / r.duration(i.runTime)), r.step().cpu})
+		running = append(running, []any{platform.TaskName(id), r.run, "", r.percent(i.runTime), r.step().cpu})
 	}
 	for _, e := range i.unackedEnds[:min(len(i.unackedEnds), endsPerListing)] {
 		ended = append(ended, []any{e.number, platform.TaskName(e.id), e.run, e.how, ""})
--- a/tools/soak/jobs.go
+++ b/tools/soak/jobs.go
@@ -28,7 +28,7 @@
 type jobKind string
 
 // The kinds. Each seed submits all but large and limit ones; pastLease is that of
-// restartsInSeries.
+// restartsInSeries, longRunning that of submitLongRunning.
 const (
 	plain     jobKind = "plain"
 	manyEnds  jobKind = "many ends"
@@ -52,6 +52,9 @@
 	after       bool
 	gang        bool
 	perInstance int
+	// longRunning tasks run until their job is cancelled; mayMiss is their budget.
+	longRunning bool
+	mayMiss     int
 	label       string
 	// affinity is the rack of the step's data; empty if it has none.
 	affinity string
@@ -122,7 +125,9 @@
 }
 
 // mustEnd reports whether the job has to end by itself.
-func (p *jobPlan) mustEnd() bool { return p.kind != hopeless && p.kind != large && p.kind != limit }
+func (p *jobPlan) mustEnd() bool {
+	return p.kind != hopeless && p.kind != large && p.kind != limit && p.kind != longRunning
+}
 
 // due returns when an occurrence may start; the zero time if at once.
 func (p *jobPlan) due(occurrence int) time.Time {
@@ -146,6 +151,9 @@
 		if s.perInstance > 0 {
 			step["anti_affinity"] = s.perInstance
 		}
+		if s.longRunning {
+			step["long_running"], step["may_miss"] = true, s.mayMiss
+		}
 		if s.label != "" {
 			step["requirements"] = s.label
 		}
--- a/tools/soak/judges.go
+++ b/tools/soak/judges.go
@@ -35,12 +35,13 @@
 	// instance when it was cut off.
 	judgeAckedAfterRestart judge = "no run after an end acknowledged to a restarted instance"
 	judgeRestarted         judge = "one run across restarts"
+	judgeLongRunning       judge = "long-running tasks run"
 )
 
 var allJudges = []judge{
 	judgeOneRun, judgeAcked, judgeRefused, judgeCancelled, judgeOrder, judgeDue, judgeCapacity, judgeLabel, judgePerServer,
 	judgeTeam, judgeAttempts, judgeStates, judgeKnown, judgeRepeated, judgeMoved, judgeDrain, judgeKey, judgeEnds,
-	judgeAckedAfterRestart, judgeRestarted,
+	judgeAckedAfterRestart, judgeRestarted, judgeLongRunning,
 }
 
 // Floors of a seed's work, below which it has shown nothing.
@@ -72,7 +73,7 @@
 			out = append(out, fmt.Sprintf("%d %s, want at least %d", f.count, f.name, f.min))
 		}
 	}
-	for _, kind := range rareKinds {
+	for _, kind := range append(slices.Clone(rareKinds), longRunning) {
 		if c.kinds[kind] == 0 {
 			out = append(out, fmt.Sprintf("no job of the kind %q was accepted", kind))
 		}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -206,9 +206,12 @@
 		}
 		wg.Go(func() { c.run(working, first) })
 	}
+	service := newCaller(h, h.seed, longRunningCaller)
+	wg.Go(func() { service.submitLongRunning(working) })
 	schedule := h.injectFaults(ctx, random)
 	stop()
 	wg.Wait()
+	h.awaitLongRunning(service.jobs)
 	h.settle(append(all, h.longCallers...), o.settle)
 	all[0].checkWithdrawnKey()
 	return schedule
