--- a/internal/owner/emptying_test.go
+++ b/internal/owner/emptying_test.go
@@ -18,8 +18,8 @@
 // 3 s, from 6 s after its last run.
 const mostTimeAway = 9 * time.Second
 
-// fleetOf is the leader's side of a cluster: it moves machines of the spare pool.
-type fleetOf struct {
+// leaderLoop moves machines between the spare pool and a cluster, as the leader does.
+type leaderLoop struct {
 	c     *cluster
 	d     *daemon
 	spare int
@@ -29,46 +29,47 @@
 }
 
 // pass is one pass of the leader's loop. It returns the instances that are empty.
-func (f *fleetOf) pass(release ...string) ([]string, error) {
-	empty, err := f.d.unit.Release(context.Background(), release)
+func (l *leaderLoop) pass(release ...string) ([]string, error) {
+	empty, err := l.d.unit.Release(context.Background(), release)
 	if err != nil {
 		return nil, err
 	}
-	demand, err := f.d.unit.Demand(context.Background(), testPool)
+	demand, err := l.d.unit.Demand(context.Background(), testPool)
 	if err != nil {
 		return nil, err
 	}
 	capacity := job.Resources{CPU: 4000, Memory: 8000}
 	s := rebalance.Snapshot{
 		Machines: map[string]machine.Machine{}, Busy: map[string]bool{}, Demand: map[string]rebalance.Demand{testPool: demand}, SparePool: sparePool,
-		BaseSizes: map[string]int{testPool: 3}, Arriving: map[string]int{testPool: len(f.arrivals)},
+		BaseSizes: map[string]int{testPool: 3}, Arriving: map[string]int{testPool: len(l.arrivals)},
 	}
-	for id := range f.c.instances {
+	for id := range l.c.instances {
 		s.Machines[id] = machine.Machine{Name: id, Pool: testPool, State: machine.Up, Instance: id, Capacity: capacity}
 		s.Busy[id] = slices.Contains(release, id)
 	}
-	for n := range f.spare {
+	for n := range l.spare {
 		name := fmt.Sprint("spare-", n)
 		s.Machines[name] = machine.Machine{Name: name, Pool: sparePool, State: machine.Up, Capacity: capacity}
 	}
 	for _, m := range rebalance.Plan(s) {
 		if m.To != testPool {
-			f.c.remove(m.Machine)
+			l.c.remove(m.Machine)
+			l.spare++
 			continue
 		}
-		f.spare--
-		f.arrivals = append(f.arrivals, time.Now().Add(1500*time.Millisecond))
+		l.spare--
+		l.arrivals = append(l.arrivals, time.Now().Add(1500*time.Millisecond))
 	}
-	for len(f.arrivals) > 0 && !time.Now().Before(f.arrivals[0]) {
-		f.arrivals = f.arrivals[1:]
-		f.moved++
-		id := fmt.Sprint("i-moved-", f.moved)
-		i := newFakeInstance(id, f.c.startedAt)
+	for len(l.arrivals) > 0 && !time.Now().Before(l.arrivals[0]) {
+		l.arrivals = l.arrivals[1:]
+		l.moved++
+		id := fmt.Sprint("i-moved-", l.moved)
+		i := newFakeInstance(id, l.c.startedAt)
 		i.duration, i.startup = time.Hour, 500*time.Millisecond
-		f.c.mu.Lock()
-		f.c.instances[id] = i
-		f.c.mu.Unlock()
-		f.d.view.ResetRegistry(f.c.registrations())
+		l.c.mu.Lock()
+		l.c.instances[id] = i
+		l.c.mu.Unlock()
+		l.d.view.ResetRegistry(l.c.registrations())
 	}
 	return empty, nil
 }
@@ -89,11 +90,11 @@
 				c.submit(jobA, step)
 				time.Sleep(4 * time.Second)
 				is.Equal(len(c.startsOf(jobA)), step.Count)
-				f := &fleetOf{c: c, d: d, spare: spare}
+				l := &leaderLoop{c: c, d: d, spare: spare}
 				lastSeen := map[job.TaskID]time.Time{}
 				isEmpty := false
 				for begin := time.Now(); !isEmpty && time.Since(begin) < 2*mostTimeAway; time.Sleep(150 * time.Millisecond) {
-					empty, err := f.pass("i-0")
+					empty, err := l.pass("i-0")
 					is.NoErr(err)
 					isEmpty = len(empty) > 0
 					for _, i := range c.instances {
