--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -52,7 +52,7 @@
 func (u *Unit) addWaiting(d *rebalance.Demand, pool string, nodes []*schedule.Node, now time.Time) (smallest job.Resources) {
 	size := u.meanInstance[pool]
 	var waiting, lasting occupancy
-	var startable []*schedule.Candidate
+	wanted := make([]schedule.Wanted, 0, len(u.waiting[pool]))
 	allowances := map[*job.Resources]job.Resources{}
 	for _, c := range u.waiting[pool] {
 		e := u.jobs[c.Job]
@@ -63,9 +63,7 @@
 		if tasks == 0 {
 			continue
 		}
-		allowed := *c
-		allowed.Tasks = c.Tasks[:tasks]
-		startable = append(startable, &allowed)
+		wanted = append(wanted, schedule.Wanted{Candidate: c, Count: tasks})
 		if c.Step.Fills {
 			continue
 		}
@@ -80,7 +78,7 @@
 		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
 		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
-	missing, awaited := schedule.MissingInstances(append(startable, u.leavingCandidates(pool, now)...), nodes, size)
+	missing, awaited := schedule.MissingInstances(append(wanted, u.leavingTasks(pool, now)...), nodes, size)
 	for _, m := range missing {
 		d.Missing = append(d.Missing, rebalance.Missing(m))
 	}
--- a/internal/owner/leaving.go
+++ b/internal/owner/leaving.go
@@ -25,7 +25,7 @@
 
 // leavingCandidate returns a candidate for a running task that has to move.
 func (u *Unit) leavingCandidate(e *entry, id job.TaskID, r *run) *schedule.Candidate {
-	c := &schedule.Candidate{Job: id.Job, Occurrence: id.Occurrence, Number: id.Step, Step: r.step, Tasks: []schedule.Task{{Index: id.Index}}}
+	c := &schedule.Candidate{Job: id.Job, Occurrence: id.Occurrence, Number: id.Step, Step: r.step}
 	c.Placed = map[string]int{}
 	for index := range r.step.Count {
 		other := id
@@ -37,18 +37,18 @@
 	return c
 }
 
-// leavingCandidates returns candidates for the long-running tasks at cordoned and lost
-// instances of a pool: they need places elsewhere. A machine arrives well before the leases
-// of a lost instance have expired.
-func (u *Unit) leavingCandidates(pool string, now time.Time) []*schedule.Candidate {
-	var out []*schedule.Candidate
+// leavingTasks returns the long-running tasks at cordoned and lost instances of a pool: they
+// need places elsewhere. A machine arrives well before the leases of a lost instance have
+// expired.
+func (u *Unit) leavingTasks(pool string, now time.Time) []schedule.Wanted {
+	var out []schedule.Wanted
 	for _, sess := range u.sessions {
 		if sess.reg.Pool != pool || !sess.cordoned(now) && !sess.lost(now) || sess.usage.longRunning+sess.usage.backfill == 0 {
 			continue
 		}
 		for id, r := range sess.runs {
 			if e := u.jobs[id.Job]; e != nil && r.step.Lasting && !r.stopping && !u.advised(e.job.Submission) {
-				out = append(out, u.leavingCandidate(e, id, r))
+				out = append(out, schedule.Wanted{Candidate: u.leavingCandidate(e, id, r), Count: 1})
 			}
 		}
 	}
--- a/internal/owner/round_bench_test.go
+++ b/internal/owner/round_bench_test.go
@@ -98,3 +98,15 @@
 		})
 	}
 }
+
+// BenchmarkDemand is one report to the leader at a peak of a large pool.
+func BenchmarkDemand(b *testing.B) {
+	u := peakUnit(700, 0, 2000)
+	now := time.Now()
+	u.measureInstances()
+	u.plan(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		u.demand(testPool, now)
+	}
+}
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -15,13 +15,19 @@
 	Instances int
 }
 
-// MissingInstances returns the further instances, of the given size, that the candidates
-// need: those for tasks that could start at none of the nodes if all tasks there ended that
-// end by themselves. Steps with tickets aren't counted, since it isn't known whether the
-// advisor allows a further instance, nor are gangs. It also returns the IDs of the nodes with
-// places for the others.
-func MissingInstances(candidates []*Candidate, nodes []*Node, size job.Resources) (missing []Missing, awaited map[string]bool) {
-	if len(candidates) == 0 {
+// Wanted is a number of a candidate's tasks that need a place.
+type Wanted struct {
+	*Candidate
+	Count int
+}
+
+// MissingInstances returns the further instances, of the given size, that tasks need: those
+// for tasks that could start at none of the nodes if all tasks there ended that end by
+// themselves. Steps with tickets aren't counted, since it isn't known whether the advisor
+// allows a further instance, nor are gangs. It also returns the IDs of the nodes with places
+// for the others.
+func MissingInstances(wanted []Wanted, nodes []*Node, size job.Resources) (missing []Missing, awaited map[string]bool) {
+	if len(wanted) == 0 {
 		return nil, nil
 	}
 	present := make([]host, len(nodes))
@@ -29,13 +35,13 @@
 		present[i] = host{id: n.ID, labels: n.Labels, left: n.Capacity.Sub(n.LongRunning)}
 	}
 	var further []host
-	for _, c := range candidates {
+	for _, w := range wanted {
+		c, tasks := w.Candidate, w.Count
 		if c.Step.Gang || c.Tickets != nil || !c.Step.Allocation().Fits(size) {
 			continue
 		}
-		tasks := len(c.Tasks)
 		if !c.Step.Lasting {
-			tasks = min(tasks, 1) // the others follow when it has ended
+			tasks = min(tasks, 1) // the others follow in its place
 		}
 		for range tasks {
 			if takeAny(present, c) || takeAny(further, c) {
--- a/internal/schedule/missing_test.go
+++ b/internal/schedule/missing_test.go
@@ -8,6 +8,14 @@
 	"github.com/beryltide/beryltide/internal/job"
 )
 
+func wantedOf(candidates ...*Candidate) []Wanted {
+	var out []Wanted
+	for _, c := range candidates {
+		out = append(out, Wanted{Candidate: c, Count: len(c.Tasks)})
+	}
+	return out
+}
+
 // Guards against pools sized by capacity alone: tasks that no instance may run waited beside
 // free capacity, and no further instance was asked for.
 func TestMissingInstances(t *testing.T) {
@@ -46,7 +54,7 @@
 		{"no ticket yet", nil, []*Candidate{{Job: "j", Step: &limited, Tasks: make([]Task, 1), Tickets: map[string]string{}}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			missing, _ := MissingInstances(c.of, c.nodes, size)
+			missing, _ := MissingInstances(wantedOf(c.of...), c.nodes, size)
 			is.New(t).Equal(missing, c.want)
 		})
 	}
@@ -57,7 +65,7 @@
 	is := is.New(t)
 	size := job.Resources{CPU: 16_000}
 	c := &Candidate{Job: "j", Step: &job.Step{Lasting: true, Need: job.Resources{CPU: 1000}, PerInstance: 1}, Tasks: make([]Task, 2), Placed: map[string]int{"a": 1}}
-	missing, awaited := MissingInstances([]*Candidate{c}, []*Node{{ID: "a", Capacity: size}, {ID: "b", Capacity: size}}, size)
+	missing, awaited := MissingInstances(wantedOf(c), []*Node{{ID: "a", Capacity: size}, {ID: "b", Capacity: size}}, size)
 	is.Equal(awaited, map[string]bool{"b": true})
 	is.Equal(missing, []Missing{{Need: c.Step.Need, Instances: 1}})
 }
