--- a/tools/soak/floors_test.go
+++ b/tools/soak/floors_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -78,7 +79,7 @@
 func TestFloors(t *testing.T) {
 	is := is.New(t)
 	enough := counts{starts: minStarts, accepted: minAccepted, completed: minCompleted, kinds: map[jobKind]int{}, drawn: map[string]int{"f": 2}, effective: map[string]int{"f": 1}}
-	for _, kind := range rareKinds {
+	for _, kind := range kindsOfEachSeed() {
 		enough.kinds[kind] = 1
 	}
 	is.Equal(len(enough.shortfalls()), 0)
@@ -87,6 +88,7 @@
 		func(c *counts) { c.accepted-- },
 		func(c *counts) { c.completed-- },
 		func(c *counts) { c.kinds = map[jobKind]int{} },
+		func(c *counts) { c.kinds = maps.Clone(c.kinds); delete(c.kinds, longRunning) },
 		func(c *counts) { c.effective = nil },
 	} {
 		c := enough
--- a/tools/soak/judges.go
+++ b/tools/soak/judges.go
@@ -62,6 +62,9 @@
 	exercised map[judge]int
 }
 
+// kindsOfEachSeed returns the kinds of which each seed must have an accepted job.
+func kindsOfEachSeed() []jobKind { return append(slices.Clone(rareKinds), longRunning) }
+
 // shortfalls returns what a seed's work lacks.
 func (c counts) shortfalls() []string {
 	var out []string
@@ -73,7 +76,7 @@
 			out = append(out, fmt.Sprintf("%d %s, want at least %d", f.count, f.name, f.min))
 		}
 	}
-	for _, kind := range append(slices.Clone(rareKinds), longRunning) {
+	for _, kind := range kindsOfEachSeed() {
 		if c.kinds[kind] == 0 {
 			out = append(out, fmt.Sprintf("no job of the kind %q was accepted", kind))
 		}
