--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -120,12 +120,12 @@
 
 // Daemon is a process of the system under test.
 type Daemon struct {
-	Name, Front, Ready string
-	lab                *Lab
-	settings           string
-	mu                 sync.Mutex
-	process            *exec.Cmd
-	ended              chan struct{}
+	Name, Front, Ready, Peers string
+	lab                       *Lab
+	settings                  string
+	mu                        sync.Mutex
+	process                   *exec.Cmd
+	ended                     chan struct{}
 }
 
 func freeAddress(ip string) (string, error) {
@@ -147,7 +147,7 @@
 			return nil, err
 		}
 	}
-	d := &Daemon{Name: name, Front: addresses[0], Ready: addresses[1], lab: l, settings: filepath.Join(l.dir, name+".json")}
+	d := &Daemon{Name: name, Front: addresses[0], Ready: addresses[1], Peers: addresses[2], lab: l, settings: filepath.Join(l.dir, name+".json")}
 	settings, _ := json.Marshal(map[string]any{
 		"instance": name, "data_centre": zone, "callers": addresses[0], "readiness": addresses[1], "peers": addresses[2], "operations": addresses[3],
 		"store": l.Store.Addr, "machines": l.Machines.Addr, "advisor": "127.0.0.1:9", "units": parts, "memory_mb": memoryMB, "max_descriptors": 4100,
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -430,3 +430,37 @@
 	}
 	answer(w, http.StatusOK, map[string]any{"parts": rows})
 }
+
+// Newest returns the newest value of a key in partition 0 of a keyed topic.
+func (s *Store) Newest(topic, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.partition(topic, 0).newest[key].value)
+}
+
+// Holder returns the member of a group that has a partition.
+func (s *Store) Holder(name string, part int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group(name).holder[part]
+}
+
+// Exchange deals the partitions of a group anew, at once and without any request: two
+// members get each other's, and all others keep theirs.
+func (s *Store) Exchange(name, a, b string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.group(name)
+	g.generation++
+	for _, assigned := range []map[int]string{g.target, g.holder} {
+		for part, to := range assigned {
+			switch to {
+			case a:
+				assigned[part] = b
+			case b:
+				assigned[part] = a
+			}
+		}
+	}
+	return g.generation
+}
