--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -u
+cd "$(dirname "$0")/../.."
+[ -x target/beryltided ] && [ -x target/review-2/leader ] || exit 2
+RECORD=review/8/record.txt timeout -k 5 115 target/review-2/leader
+code=$?
+[ $code -le 2 ] || code=2
+exit $code
