review: a program for the entry on the record of a lost contact

Cause: a tenure that missed a generation extends leases beside a record of lost contact that the owner between has written (KNOWN-RED.txt, TestRecordedLossBindsAnEarlierTenure).

--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -1,7 +1,9 @@
 package lab2
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -27,6 +29,9 @@
 
 	// RunTime returns how long a task takes.
 	RunTime func(task, spec string) time.Duration
+	// Unreachable reports whether the worker is cut off from the sender of an order, which
+	// its fence number names; nil if from none.
+	Unreachable func(fence int64) bool
 	// Refuse returns a status with which an unhealthy worker refuses a start; 0 for none.
 	Refuse func() int
 
@@ -82,6 +87,14 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if k.Unreachable != nil && r.Body != nil {
+			data, _ := io.ReadAll(r.Body)
+			var b orderBody
+			if json.Unmarshal(data, &b) == nil && k.Unreachable(b.Fence) {
+				panic(http.ErrAbortHandler) // the connection is reset, nothing has arrived
+			}
+			r.Body = io.NopCloser(bytes.NewReader(data))
+		}
 		mux.ServeHTTP(w, r)
 	})}
 	go func() { _ = k.server.Serve(listener) }()
