--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strconv"
@@ -124,10 +123,12 @@
 	lab                       *Lab
 	settings                  string
 	mu                        sync.Mutex
-	process                   *exec.Cmd
+	process                   *os.Process
 	ended                     chan struct{}
 }
 
+// freeAddress returns an address with a free port. Connections to other addresses come from
+// 127.0.0.1, so none of them takes the port before the process does.
 func freeAddress(ip string) (string, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -143,7 +144,7 @@
 	addresses := make([]string, 4)
 	for n := range addresses {
 		var err error
-		if addresses[n], err = freeAddress("127.0.0.1"); err != nil {
+		if addresses[n], err = freeAddress(fmt.Sprintf("127.0.1.%d", 1+len(l.Daemons))); err != nil {
 			return nil, err
 		}
 	}
@@ -169,26 +170,29 @@
 func (d *Daemon) Start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	cmd := exec.Command(filepath.Join(d.lab.repository, "target", "beryltided"), "fleet")
-	cmd.Dir = d.lab.repository
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.lab.dir, "LANG=C", "BERYLTIDE_CONFIG=" + d.settings}
-	if os.Getenv("DAEMON_LOGS") != "" {
-		out, err := os.OpenFile(filepath.Join(os.Getenv("DAEMON_LOGS"), d.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return err
-		}
-		cmd.Stdout, cmd.Stderr = out, out
+	out, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if logs := os.Getenv("DAEMON_LOGS"); logs != "" {
+		out, err = os.OpenFile(filepath.Join(logs, d.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	if err != nil {
+		return err
 	}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	defer func() { _ = out.Close() }()
+	program := filepath.Join(d.lab.repository, "target", "beryltided")
+	process, err := os.StartProcess(program, []string{program, "fleet"}, &os.ProcAttr{
+		Dir: d.lab.repository, Files: []*os.File{nil, out, out},
+		Env: []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.lab.dir, "LANG=C", "BERYLTIDE_CONFIG=" + d.settings},
+		Sys: &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL},
+	})
+	if err != nil {
 		return err
 	}
 	ended := make(chan struct{})
-	d.process, d.ended = cmd, ended
+	d.process, d.ended = process, ended
 	d.lab.Event("process starts", "daemon", d.Name)
 	go func() {
-		err := cmd.Wait()
-		d.lab.Event("process ended", "daemon", d.Name, "error", err)
+		state, err := process.Wait()
+		d.lab.Event("process ended", "daemon", d.Name, "state", strconv.Quote(fmt.Sprint(state)), "error", err)
 		close(ended)
 	}()
 	return nil
@@ -214,7 +218,7 @@
 	case <-d.ended:
 	default:
 		d.lab.Event("signal", "daemon", d.Name, "signal", s)
-		_ = d.process.Process.Signal(s)
+		_ = d.process.Signal(s)
 	}
 }
 
@@ -227,7 +231,7 @@
 // Memory returns the memory of the process in MiB; 0 if it has ended.
 func (d *Daemon) Memory() int {
 	d.mu.Lock()
-	pid := d.process.Process.Pid
+	pid := d.process.Pid
 	d.mu.Unlock()
 	data, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
 	for _, line := range strings.Split(string(data), "\n") {
