--- a/review/cmd2/stranded/main.go
+++ b/review/cmd2/stranded/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"beryltide-review/lab2"
@@ -74,6 +75,9 @@
 			accepted <- status
 		}()
 		status := <-accepted
+		for _, d := range lab.Daemons {
+			d.Signal(syscall.SIGKILL)
+		}
 		for _, d := range lab.Daemons {
 			d.Kill()
 		}
