--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -24,8 +24,10 @@
 	// number of its last order by pool.
 	leader     int64
 	lastNumber map[string]int64
-	grants     map[teamPool]job.Resources
-	running    map[teamPool]job.Resources
+	// refused is the epoch of the last earlier leader whose order was refused.
+	refused int64
+	grants  map[teamPool]job.Resources
+	running map[teamPool]job.Resources
 	// occupied is what the running tasks take of their instances: it doesn't count the
 	// CPU of backfill tasks.
 	occupied map[teamPool]job.Resources
@@ -102,6 +104,10 @@
 func (u *Unit) Grant(ctx context.Context, o GrantOrder) (uses map[string]quota.Use, epoch int64, err error) {
 	uses, err = ask(ctx, u, func() (map[string]quota.Use, error) {
 		a := &u.allowances
+		if o.Lead < a.leader && o.Lead != a.refused {
+			u.Logger.Warn("quota.lead_refused", zap.Int64("lead", o.Lead), zap.Int64("obeyed", a.leader))
+			a.refused = o.Lead
+		}
 		if !u.holds() || !u.loaded || o.Lead < a.leader || o.Lead == a.leader && o.Number <= a.lastNumber[o.Pool] {
 			return nil, ErrNotReady
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -212,6 +212,9 @@
 		m.reacquisitions = 0
 		m.generationAt = m.clock()
 	}
+	if m.joined && membership.Generation > m.generation+1 {
+		m.logger.Info("ownership.generations_missed", zap.Int64("from", m.generation), zap.Int64("to", membership.Generation), zap.Int("held", len(m.held)), zap.Duration("since_confirmed", sent-m.confirmed))
+	}
 	listed := map[int]bool{}
 	changed := false
 	for _, c := range membership.Claims {
