--- a/internal/maintenance/superseded_test.go
+++ b/internal/maintenance/superseded_test.go
@@ -19,12 +19,12 @@
 // obeyingOwners obey the leader of an epoch and refuse earlier ones.
 type obeyingOwners struct {
 	fakeOwners
-	leader int64
+	leader atomic.Int64
 }
 
 func (o *obeyingOwners) Demand(ctx context.Context, order owner.GrantOrder) (Report, error) {
-	if order.Lead < o.leader {
-		return Report{}, &owner.SupersededError{Leader: o.leader}
+	if order.Lead < o.leader.Load() {
+		return Report{}, &owner.SupersededError{Leader: o.leader.Load()}
 	}
 	return o.fakeOwners.Demand(ctx, order)
 }
@@ -33,7 +33,7 @@
 // that goes on for good: it has to give its tenure up, so that it gets a new one.
 func TestSupersededLeaderGivesItsTenureUp(t *testing.T) {
 	for name, by := range map[string]func(s *memstore.Store, o *obeyingOwners){
-		"an owner": func(_ *memstore.Store, o *obeyingOwners) { o.leader = 2 },
+		"an owner": func(_ *memstore.Store, o *obeyingOwners) { o.leader.Store(2) },
 		"the fleet's store": func(s *memstore.Store, _ *obeyingOwners) {
 			_ = s.Client().Append(context.Background(), Topic, 0, nil, &store.Sequence{Producer: producer, Epoch: 2})
 		},
