--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -31,8 +31,7 @@
 		zap.Int64("configuration", u.View.Catalog().Version), zap.Duration("registry_age", u.View.RegistryAge()))
 }
 
-// logPlan logs each step of which the round starts tasks and, once per job, why
-// it has to wait.
+// logPlan logs each step of which the round starts tasks and why others wait.
 func (u *Unit) logPlan(candidates []*schedule.Candidate, nodes []*schedule.Node, plan []schedule.Assignment, now time.Time) {
 	type step struct {
 		job                string
@@ -64,15 +63,18 @@
 // long-running tasks that wait.
 const longRunningWaitInterval = 2 * time.Second
 
-// logWaits logs, once per job, why a task of it waits, and each longRunningWaitInterval
-// while long-running ones do.
+// waitInterval is the time from one line to the next about a job that waits.
+const waitInterval = 10 * time.Second
+
+// logWaits logs, each waitInterval, why a task of a job waits, and each
+// longRunningWaitInterval while long-running ones do.
 func (u *Unit) logWaits(c *schedule.Candidate, nodes []*schedule.Node, now time.Time) {
 	e := u.jobs[c.Job]
 	if e == nil {
 		return
 	}
-	if !e.waitLogged {
-		e.waitLogged = true
+	if now.Sub(e.waitLoggedAt) >= waitInterval {
+		e.waitLoggedAt = now
 		u.Logger.Info("job.waits", u.describeWait(c, nodes)...)
 	}
 	if c.Step.Lasting && now.Sub(c.WaitingSince) >= longRunningWaitInterval && now.Sub(e.longRunningLogged) >= longRunningWaitInterval {
--- a/internal/owner/shares_test.go
+++ b/internal/owner/shares_test.go
@@ -37,7 +37,7 @@
 		sess.usage = usage{}
 	}
 	for _, e := range u.jobs {
-		e.waitLogged = false
+		e.waitLoggedAt = time.Time{}
 	}
 	return u, scope, logs
 }
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -190,8 +190,8 @@
 	recordedState job.State
 	// startRecorded reports that a start of the job was recorded.
 	startRecorded bool
-	// waitLogged reports that the reason why the job waits has been logged.
-	waitLogged bool
+	// waitLoggedAt is when the reason why the job waits was last logged.
+	waitLoggedAt time.Time
 	// longRunningLogged is when a wait of its long-running tasks was last logged.
 	longRunningLogged time.Time
 	// putBehind is the reason last logged for which the job starts after others.
