Every accepted task that waits has a claim to its team's limit and to an instance

Cause: placing starts jobs without value left, as the last of all; the owner's report of what a team waits for left them out. Their pool got what a pool without work gets, the limit divided by the number of pools, and a task or gang that needs more never fitted. An exclusion stood for an order.

Evidence: job.waits reason="the team's limit" allowance_cpu=4000 lead=576, each 10 s, for a task of 6 cores under a limit of 16 with four pools.

Change: Class.Valued is the one predicate. What isn't valued, or can't run on a present instance, counts behind what is, and gets up to half of what that leaves, or one task or gang if that is more. Instances that only tasks without value need come last, from machines that are off. The same cause on related paths, also for work in time: a task whose instance depended on its limit and whose limit on its instance; shares of a limit too small for a task in each of several pools; a gang of which a part counted. Why it works: whatever placing may start is now asked for, and the rank decides who comes first.

--- a/internal/job/submission.go
+++ b/internal/job/submission.go
@@ -5,6 +5,7 @@
 package job
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,20 @@
 	return Resources{CPU: n * r.CPU, Memory: n * r.Memory, GPU: n * r.GPU}
 }
 
+// TimesIn returns how many times r fits into what is free; 0 for a need of nothing.
+func (r Resources) TimesIn(free Resources) int {
+	times := math.MaxInt
+	for _, d := range [][2]int{{r.CPU, free.CPU}, {r.Memory, free.Memory}, {r.GPU, free.GPU}} {
+		if d[0] > 0 {
+			times = min(times, max(d[1], 0)/d[0])
+		}
+	}
+	if times == math.MaxInt {
+		return 0
+	}
+	return times
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	// Count is the number of tasks.
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -48,21 +48,27 @@
 }
 
 // addWaiting adds the waiting tasks that more machines could run, and returns the
-// smallest need of one for each resource; 0 if there is none.
+// smallest need of a valued one for each resource; 0 if there is none. Tasks without value
+// left add no backlog, and so no machines beyond those without which they could never start.
 func (u *Unit) addWaiting(d *rebalance.Demand, pool string, nodes []*schedule.Node, now time.Time) (smallest job.Resources) {
 	size := u.meanInstance[pool]
 	var waiting, lasting occupancy
 	wanted := make([]schedule.Wanted, 0, len(u.waiting[pool]))
+	var behind []schedule.Wanted
 	allowances := map[*job.Resources]job.Resources{}
 	for _, c := range u.waiting[pool] {
 		e := u.jobs[c.Job]
-		if e == nil || c.Class > schedule.Late && !c.Step.Lasting {
+		if e == nil || c.Class == schedule.Backfill && !c.Step.Lasting {
 			continue
 		}
 		tasks := withinAllowance(c, allowances)
 		if tasks == 0 {
 			continue
 		}
+		if c.Class == schedule.NoValue {
+			behind = append(behind, schedule.Wanted{Candidate: c, Count: tasks})
+			continue
+		}
 		wanted = append(wanted, schedule.Wanted{Candidate: c, Count: tasks})
 		if c.Step.Fills {
 			continue
@@ -78,7 +84,8 @@
 		smallest.CPU = smaller(smallest.CPU, c.Step.Need.CPU)
 		smallest.Memory = smaller(smallest.Memory, c.Step.Need.Memory)
 	}
-	missing, awaited := schedule.MissingInstances(append(wanted, u.leavingTasks(pool, now)...), nodes, size)
+	wanted = append(wanted, u.leavingTasks(pool, now)...)
+	missing, awaited := schedule.MissingInstances(append(wanted, behind...), nodes, size)
 	for _, m := range missing {
 		d.Missing = append(d.Missing, rebalance.Missing(m))
 	}
@@ -100,7 +107,7 @@
 }
 
 // withinAllowance returns how many of a candidate's waiting tasks its team may still
-// start. The map holds what remains of each allowance; the count is deducted from it.
+// start, of a gang all or none. The map holds what remains of each allowance; the count is deducted from it.
 func withinAllowance(c *schedule.Candidate, remaining map[*job.Resources]job.Resources) int {
 	if c.Allowance == nil {
 		return len(c.Tasks)
@@ -110,6 +117,9 @@
 		left = *c.Allowance
 	}
 	tasks := 0
+	if c.Step.Gang && !c.Unit().Fits(left) {
+		return 0
+	}
 	for tasks < len(c.Tasks) && c.Step.Need.Fits(left) {
 		left = left.Sub(c.Step.Need)
 		tasks++
--- a/internal/owner/explain.go
+++ b/internal/owner/explain.go
@@ -109,7 +109,7 @@
 	switch {
 	case len(nodes) == 0:
 		return "no usable instance"
-	case c.Allowance != nil && !c.Step.Need.Fits(*c.Allowance):
+	case c.Allowance != nil && !c.Unit().Fits(*c.Allowance):
 		return "the team's limit"
 	case c.Tickets != nil && len(c.Tickets) == 0:
 		return "advice"
--- a/internal/owner/outlookwork.go
+++ b/internal/owner/outlookwork.go
@@ -41,15 +41,16 @@
 	return o
 }
 
-// waitingJobs returns by team the jobs with waiting tasks that have value left and that
-// the nodes and the teams' limits allow to start.
+// waitingJobs returns by team the jobs with valued waiting tasks that the nodes and the
+// teams' limits allow to start. A new job doesn't wait for the others: it starts before
+// those that aren't valued, and those that can't start take no capacity.
 func (u *Unit) waitingJobs(pool string, nodes []*schedule.Node, now time.Time) map[string][]shortage.Waiting {
 	byTeam := map[string][]shortage.Waiting{}
 	remaining := map[*job.Resources]job.Resources{}
 	seen := map[schedule.StepKey]bool{}
 	for _, c := range schedule.Runnable(u.waiting[pool], nodes) {
 		e, key := u.jobs[c.Job], schedule.StepKey{Job: c.Job, Occurrence: c.Occurrence}
-		if e == nil || seen[key] || c.Class > schedule.Late || c.Step.Lasting || withinAllowance(c, remaining) == 0 {
+		if e == nil || seen[key] || !c.Class.Valued() || c.Step.Lasting || withinAllowance(c, remaining) == 0 {
 			continue
 		}
 		seen[key] = true
--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -167,36 +167,51 @@
 	waiting := u.waitingByTeam(pool, c, time.Now())
 	for team := range c.Teams {
 		s := teamPool{pool: pool, team: team}
-		uses[team] = quota.Use{Held: u.allowances.grants[s], Running: u.allowances.running[s], Waiting: waiting[team]}
+		use := waiting[team]
+		use.Held, use.Running = u.allowances.grants[s], u.allowances.running[s]
+		uses[team] = use
 	}
 	return uses
 }
 
-// waitingByTeam returns the need of the waiting tasks that the pool could run. What it
-// can't, or the team may never run, must not take a part of the team's limit from pools
-// where it could be used.
-func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]job.Resources {
-	waiting := map[string]job.Resources{}
+// waitingByTeam returns what the teams' waiting tasks in the pool need. What can't be valued
+// work that the pool could run now counts as Behind, so that it takes no part of a limit
+// from pools where it could be used. What the team may never run, or no instance of the
+// pool's size, isn't counted.
+func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]quota.Use {
+	runnable := map[*schedule.Candidate]bool{}
 	for _, candidate := range schedule.Runnable(u.waiting[pool], u.nodes(pool, now)) {
+		runnable[candidate] = true
+	}
+	size := u.meanInstance[pool]
+	uses := map[string]quota.Use{}
+	for _, candidate := range u.waiting[pool] {
 		e := u.jobs[candidate.Job]
-		if e == nil || candidate.Class == schedule.NoValue {
+		if e == nil || !runnable[candidate] && !candidate.FitsSize(size) {
 			continue
 		}
 		team := e.job.Submission.Team
 		if t := c.Teams[team]; t != nil && !withinLimit(candidate, t.Limit) {
 			continue
 		}
-		waiting[team] = waiting[team].Add(candidate.Step.Need.Times(len(candidate.Tasks)))
+		use := uses[team]
+		need := candidate.Step.Need.Times(len(candidate.Tasks))
+		oldest := quota.Oldest{Need: candidate.Unit(), Waited: now.Sub(candidate.WaitingSince)}
+		if runnable[candidate] && candidate.Class.Valued() {
+			use.Waiting = use.Waiting.Add(need)
+			use.Oldest = use.Oldest.Older(oldest)
+		} else {
+			use.Behind = use.Behind.Add(need)
+			use.OldestBehind = use.OldestBehind.Older(oldest)
+		}
+		uses[team] = use
 	}
-	return waiting
+	return uses
 }
 
 // withinLimit reports whether what has to start at once of a candidate, a task or a
 // whole gang, is within a team's limit.
 func withinLimit(c *schedule.Candidate, limit job.Resources) bool {
-	need := c.Step.Need
-	if c.Step.Gang {
-		need = need.Times(len(c.Tasks))
-	}
+	need := c.Unit()
 	return capped(need, limit) == need
 }
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -71,8 +71,8 @@
 	u.updateOutlooks(c, now)
 }
 
-// measureBacklog computes how long the work that the last round left waiting
-// would keep each pool busy.
+// measureBacklog computes how long the valued work that the last round left waiting
+// would keep each pool busy. The other work delays none of it.
 func (u *Unit) measureBacklog() {
 	cores := map[string]float64{}
 	for _, sess := range u.sessions {
@@ -84,7 +84,7 @@
 	for pool, candidates := range u.waiting {
 		var work float64
 		for _, c := range candidates {
-			if e := u.jobs[c.Job]; e != nil && c.Class <= schedule.Late {
+			if e := u.jobs[c.Job]; e != nil && c.Class.Valued() {
 				work += c.Step.CoreSeconds(u.estimate(e.job.Submission, c.Step)) * float64(len(c.Tasks))
 			}
 		}
--- /dev/null
+++ b/internal/quota/divide.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// accumulateAfter is how long a valued task waits until what is left of its team's limit
+	// is kept for it although it isn't enough yet: users accept a wait of up to 3 s while half
+	// of the limit is unused.
+	accumulateAfter = 2 * time.Second
+	// never is the same for tasks behind them: it would keep the limit from valued ones.
+	never = time.Duration(math.MaxInt64)
+)
+
+// claim is what a pool asks for of one resource.
+type claim struct {
+	amount int
+	// unit is the part of it that has to start at once and that has waited longest.
+	unit   int
+	waited time.Duration
+}
+
+// divide returns the share of one of several claims, by max-min fairness. Where that leaves
+// the oldest claim less than its unit, so that shares of several pools could all stay
+// unused, the unit comes first; a share is of use only if a task can start with it. A unit
+// that is larger than the total gets all of it once it has waited for a time.
+func divide(total int, claims []claim, own int, accumulate time.Duration) int {
+	amounts := amountsOf(claims)
+	oldest := oldestOf(claims)
+	if oldest < 0 {
+		return 0
+	}
+	unit := min(claims[oldest].unit, claims[oldest].amount)
+	if fairShare(total, claims[oldest].amount, slices.Clone(amounts)) >= unit {
+		return fairShare(total, claims[own].amount, amounts)
+	}
+	if unit > total && claims[oldest].waited < accumulate {
+		return fairShare(total, claims[own].amount, amounts)
+	}
+	first := min(unit, total)
+	amounts[oldest] -= first
+	share := fairShare(total-first, amounts[own], slices.Clone(amounts))
+	if own == oldest {
+		share += first
+	}
+	return share
+}
+
+func amountsOf(claims []claim) []int {
+	amounts := make([]int, len(claims))
+	for n, c := range claims {
+		amounts[n] = c.amount
+	}
+	return amounts
+}
+
+// oldestOf returns the index of the claim that has waited longest, or -1 if nothing is
+// claimed.
+func oldestOf(claims []claim) int {
+	oldest := -1
+	for n, c := range claims {
+		if c.amount > 0 && (oldest < 0 || c.waited > claims[oldest].waited) {
+			oldest = n
+		}
+	}
+	return oldest
+}
+
+// behindShare returns how much of a team's spare limit goes to the claims behind the
+// valued ones: half, so that valued work that arrives in any pool can begin at once, or
+// the oldest unit if that is more, which would else wait without end.
+func behindShare(spare int, claims []claim) int {
+	oldest := oldestOf(claims)
+	if oldest < 0 {
+		return 0
+	}
+	if unit := claims[oldest].unit; unit <= spare {
+		return max(spare/2, unit)
+	}
+	return spare / 2
+}
+
+// fairShare returns the share of one of several claims by max-min fairness: claims up to
+// an even part are met in full, and the larger ones share what is left evenly. A claim in
+// proportion to all of them could be met with less than one task for as long as a much
+// larger one isn't used up. It sorts the claims.
+func fairShare(total, claim int, claims []int) int {
+	slices.Sort(claims)
+	for n, c := range claims {
+		even := total / (len(claims) - n)
+		if c >= claim || c > even {
+			return min(claim, even)
+		}
+		total -= c
+	}
+	return min(claim, total)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,7 +11,7 @@
 
 import (
 	"math"
-	"slices"
+	"time"
 
 	"github.com/beryltide/beryltide/internal/job"
 )
@@ -25,9 +25,29 @@
 	Held job.Resources
 	// Running is the need of recorded runs.
 	Running job.Resources
-	// Waiting is the need of the tasks that are ready to start and that the pool could
-	// run, except those of jobs without value left.
+	// Waiting is the need of the tasks that are ready to start, valued and such that the
+	// pool could run them now; Oldest is of them.
 	Waiting job.Resources
+	Oldest  Oldest
+	// Behind is the need of the other tasks that are ready to start, which get what Waiting
+	// of all pools leaves. Owners of earlier versions don't report it, nor the oldest.
+	Behind       job.Resources
+	OldestBehind Oldest
+}
+
+// Oldest is what has to start at once, a task or a whole gang, of the step that has waited
+// longest, and for how long it has. It is sent over net/rpc.
+type Oldest struct {
+	Need   job.Resources
+	Waited time.Duration
+}
+
+// Older returns the one of the two that has waited longer.
+func (o Oldest) Older(other Oldest) Oldest {
+	if o.Need == (job.Resources{}) || other.Waited > o.Waited {
+		return other
+	}
+	return o
 }
 
 // Ledger is the leader's record of all grants. It isn't safe for concurrent use.
@@ -120,22 +140,30 @@
 func gpu(r job.Resources) int    { return r.GPU }
 
 // target returns a pool's share of a team's limit: its running tasks, its waiting
-// tasks (by max-min fairness if those of all pools don't fit), and a part of the rest.
+// tasks, of what those of all pools leave its tasks behind them, and a part of the rest.
 func (l *Ledger) target(pool, team string, limit job.Resources, pools []string, of dimension) int {
-	running, waiting := 0, 0
-	var claims []int
-	for _, other := range pools {
+	running, waiting, behind, own := 0, 0, 0, 0
+	claims, claimsBehind := make([]claim, len(pools)), make([]claim, len(pools))
+	for n, other := range pools {
 		use := l.reported[other][team]
+		if other == pool {
+			own = n
+		}
+		claims[n] = claim{amount: of(use.Waiting), unit: of(use.Oldest.Need), waited: use.Oldest.Waited}
+		claimsBehind[n] = claim{amount: of(use.Behind), unit: of(use.OldestBehind.Need), waited: use.OldestBehind.Waited}
 		running += of(use.Running)
-		waiting += of(use.Waiting)
-		claims = append(claims, of(use.Waiting))
+		waiting += claims[n].amount
+		behind += claimsBehind[n].amount
 	}
-	own := l.reported[pool][team]
+	use := l.reported[pool][team]
 	left := max(of(limit)-running, 0)
 	if waiting > left {
-		return of(own.Running) + fairShare(left, of(own.Waiting), claims)
+		return of(use.Running) + divide(left, claims, own, accumulateAfter)
 	}
-	return of(own.Running) + of(own.Waiting) + spareShare(left-waiting, len(pools), of(own.Running)+of(own.Waiting), running+waiting)
+	spare := left - waiting
+	forBehind := min(behind, behindShare(spare, claimsBehind))
+	return of(use.Running) + claims[own].amount + divide(forBehind, claimsBehind, own, never) +
+		spareShare(spare-forBehind, len(pools), of(use.Running)+claims[own].amount, running+waiting)
 }
 
 // spareShare returns a pool's part of what is neither used nor claimed: half of it is
@@ -149,22 +177,6 @@
 	return spare/2/max(pools, 1) + int(int64(spare/2)*int64(used)/int64(usedByAll))
 }
 
-// fairShare returns the share of one of several claims by max-min fairness: claims up to
-// an even part are met in full, and the larger ones share what is left evenly. A claim in
-// proportion to all of them could be met with less than one task for as long as a much
-// larger one isn't used up.
-func fairShare(total, claim int, claims []int) int {
-	slices.Sort(claims)
-	for n, c := range claims {
-		even := total / (len(claims) - n)
-		if c >= claim || c > even {
-			return min(claim, even)
-		}
-		total -= c
-	}
-	return min(claim, total)
-}
-
 func componentMax(a, b job.Resources) job.Resources {
 	return job.Resources{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPU: max(a.GPU, b.GPU)}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -66,6 +67,78 @@
 	is.Equal(l.Grants("b", limits(100), pools)[team].CPU, 7) // enough to begin
 }
 
+// cores returns an amount of CPU.
+func cores(n int) job.Resources { return job.Resources{CPU: n} }
+
+// settled returns the grants of pools once the owners have confirmed the leader's, with
+// constant reports.
+func settled(limit int, pools []string, uses map[string]Use) map[string]int {
+	l := NewLedger()
+	held := map[string]int{}
+	for range 5 {
+		for _, p := range pools {
+			u := uses[p]
+			u.Held = cores(held[p])
+			l.Confirm(p, 1, map[string]Use{team: u})
+			held[p] = l.Grants(p, limits(limit), pools)[team].CPU
+		}
+	}
+	return held
+}
+
+// Guards against work without value left that gets no part of a limit that nobody uses, and
+// against such work that gets one ahead of work in time.
+func TestWorkBehindGetsWhatWorkInTimeLeaves(t *testing.T) {
+	behind := func(unit, all int) Use {
+		return Use{Behind: cores(all), OldestBehind: Oldest{Need: cores(unit), Waited: time.Hour}}
+	}
+	waiting := func(unit, all int) Use {
+		return Use{Waiting: cores(all), Oldest: Oldest{Need: cores(unit), Waited: time.Second}}
+	}
+	pools := []string{"a", "b", "c", "d"}
+	for _, c := range []struct {
+		name string
+		uses map[string]Use
+		a, b int // at least
+	}{
+		{"nothing else", map[string]Use{"a": behind(6, 6)}, 6, 0},
+		{"more than half of the limit", map[string]Use{"a": behind(10, 10)}, 10, 0},
+		{"a gang in two pools", map[string]Use{"a": behind(10, 10), "b": behind(10, 10)}, 10, 0},
+		{"work in time takes all", map[string]Use{"a": behind(6, 100), "b": waiting(1, 16)}, 0, 16},
+		{"work in time takes more", map[string]Use{"a": behind(6, 100), "b": waiting(1, 100)}, 0, 16},
+		{"work in time leaves some", map[string]Use{"a": behind(6, 100), "b": waiting(1, 10)}, 6, 10},
+		{"work in time leaves too little", map[string]Use{"a": behind(6, 100), "b": waiting(1, 12)}, 0, 12},
+		{"a large task in time", map[string]Use{"a": behind(1, 100), "b": waiting(12, 12)}, 0, 12},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			grants := settled(16, pools, c.uses)
+			is.True(grants["a"] >= c.a)
+			is.True(grants["b"] >= c.b)
+		})
+	}
+}
+
+// Guards against shares of a limit that are too small for a task in each of several pools:
+// none of them could ever start.
+func TestSharesAreLargeEnoughForATask(t *testing.T) {
+	is := is.New(t)
+	pools := []string{"a", "b", "c"}
+	one := func(unit int, waited time.Duration) Use {
+		return Use{Waiting: cores(unit), Oldest: Oldest{Need: cores(unit), Waited: waited}}
+	}
+	grants := settled(16, pools, map[string]Use{"a": one(10, time.Second), "b": one(10, 2*time.Second)})
+	is.True(grants["b"] >= 10) // the older one
+	is.Equal(grants["a"], 6)
+
+	// What one pool runs leaves too little, and goes on being used by small tasks.
+	small := Use{Running: cores(7), Waiting: cores(50), Oldest: Oldest{Need: cores(1), Waited: 100 * time.Millisecond}}
+	is.Equal(settled(16, pools, map[string]Use{"a": small, "b": one(10, time.Second)})["b"], 4)
+	is.Equal(settled(16, pools, map[string]Use{"a": small, "b": one(10, 3*time.Second)})["b"], 9)
+	small.Running = cores(6)
+	is.Equal(settled(16, pools, map[string]Use{"a": small, "b": one(10, 3*time.Second)})["b"], 10)
+}
+
 func TestNoGrantRisesBeforeAllOwnersReported(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
@@ -165,6 +238,12 @@
 		deliver()
 	default:
 		deliver()
-		ledger.Confirm(p, o.epoch, use(o.grant, o.use, rapid.IntRange(0, 120).Draw(t, "waiting")))
+		reported := use(o.grant, o.use, rapid.IntRange(0, 120).Draw(t, "waiting"))
+		u := reported[team]
+		u.Behind = cores(rapid.IntRange(0, 120).Draw(t, "behind"))
+		u.Oldest = Oldest{Need: cores(rapid.IntRange(0, 120).Draw(t, "unit")), Waited: time.Duration(rapid.IntRange(0, 5).Draw(t, "waited")) * time.Second}
+		u.OldestBehind = Oldest{Need: cores(rapid.IntRange(0, 120).Draw(t, "unit behind")), Waited: u.Oldest.Waited}
+		reported[team] = u
+		ledger.Confirm(p, o.epoch, reported)
 	}
 }
--- a/internal/rebalance/missing.go
+++ b/internal/rebalance/missing.go
@@ -16,6 +16,9 @@
 	// Need is what the largest task for them takes.
 	Need      job.Resources
 	Instances int
+	// Behind marks instances that only tasks without value left need. Owners of earlier
+	// versions ask for none.
+	Behind bool
 }
 
 // suits reports whether an instance on the machine is one of the missing ones.
@@ -36,6 +39,9 @@
 	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
 		arriving, lacking := s.Arriving[pool], 0
 		for _, missing := range s.Demand[pool].Missing {
+			if missing.Behind {
+				continue
+			}
 			expected := min(arriving, missing.Instances)
 			arriving -= expected
 			for range missing.Instances - expected {
@@ -55,3 +61,34 @@
 	}
 	return moves, left, unserved
 }
+
+// serveMissingBehind moves machines that are off and that no pool lacks to those whose tasks without value left
+// can start at no instance. Instances that are missing together, for a gang, come together or
+// not at all, since a part of them would be returned unused.
+func (s Snapshot) serveMissingBehind(available []machine.Machine) []Move {
+	var moves []Move
+	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
+		arriving := s.Arriving[pool]
+		for _, missing := range s.Demand[pool].Missing {
+			expected := min(arriving, missing.Instances)
+			arriving -= expected
+			if !missing.Behind {
+				continue
+			}
+			var suitable []machine.Machine
+			for _, m := range available {
+				if m.Pool == s.SparePool && missing.suits(m) && len(suitable) < missing.Instances-expected {
+					suitable = append(suitable, m)
+				}
+			}
+			if len(suitable) < missing.Instances-expected {
+				continue
+			}
+			for _, m := range suitable {
+				moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: pool, Instance: m.Instance})
+				available = slices.DeleteFunc(slices.Clone(available), func(a machine.Machine) bool { return a.Name == m.Name })
+			}
+		}
+	}
+	return moves
+}
--- a/internal/rebalance/missing_test.go
+++ b/internal/rebalance/missing_test.go
@@ -1,6 +1,7 @@
 package rebalance
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -80,3 +81,34 @@
 		is.Equal(len(Plan(s)), want)
 	}
 }
+
+// Guards against machines that come for tasks without value left before work in time has
+// them, and against such tasks for which none ever comes.
+func TestMachinesForTasksWithoutValueComeLast(t *testing.T) {
+	is := is.New(t)
+	moved := func(s Snapshot) int {
+		return len(slices.DeleteFunc(Plan(s), func(m Move) bool { return m.To != "late" }))
+	}
+	behind := func(s Snapshot, instances int) {
+		d := s.Demand["late"]
+		d.Missing = []Missing{{Instances: instances, Behind: true}}
+		s.Demand["late"] = d
+	}
+	s := fleet(map[string]int{"late": 3, "peak": 2, spare: 2})
+	s.addBacklog("peak", 16000*6, 1000)
+	behind(s, 1)
+	is.Equal(moved(s), 0)
+	s = fleet(map[string]int{"late": 3, "other": 8})
+	behind(s, 1)
+	is.Equal(moved(s), 0) // only machines that are off come
+	s = fleet(map[string]int{"late": 3, spare: 2})
+	behind(s, 1)
+	is.Equal(moved(s), 1)
+	s.Arriving["late"] = 1
+	is.Equal(moved(s), 0)
+	s = fleet(map[string]int{"late": 3, spare: 2})
+	behind(s, 2)
+	is.Equal(moved(s), 2)
+	behind(s, 3)
+	is.Equal(moved(s), 0) // a gang's, of which a part would be returned unused
+}
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -74,7 +74,7 @@
 	// of it if none waits.
 	FreeCPU int
 	// Missing holds the further instances for waiting tasks that could start at no usable
-	// one if all short tasks there had ended.
+	// one if all short tasks there had ended, also of jobs without value left.
 	Missing []Missing
 	// UsableCPU is the whole capacity of usable instances.
 	UsableCPU int
@@ -132,21 +132,25 @@
 // assignMachines moves available machines, one at a time, to the pool with the longest
 // backlog among those with a shortage. A pool's backlog shrinks with each machine that
 // it is given, so that pools which peak together share the machines. What is still
-// lacking then may come from busy machines. Missing instances come before all backlogs.
+// lacking then may come from busy machines. Missing instances come before all backlogs, those
+// for tasks without value left after them.
 func (s Snapshot) assignMachines() []Move {
 	shortages := s.shortages()
 	moves, available, unserved := s.serveMissing(s.available(overloaded(shortages)))
 	for _, m := range moves {
 		arrive(shortages, m.To, s.Machines[m.Machine])
 	}
+	var left []machine.Machine
 	for _, m := range available {
 		neediest := longestBacklog(shortages, m.Pool)
 		if neediest == nil {
+			left = append(left, m)
 			continue
 		}
 		moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: neediest.pool, Instance: m.Instance})
 		neediest.take(m)
 	}
+	moves = append(moves, s.serveMissingBehind(left)...)
 	taken := map[string]bool{}
 	for _, m := range moves {
 		taken[m.Machine] = true
--- a/internal/schedule/missing_test.go
+++ b/internal/schedule/missing_test.go
@@ -31,6 +31,10 @@
 	candidate := func(tasks int, step job.Step, placed map[string]int) *Candidate {
 		return &Candidate{Job: "j", Step: &step, Tasks: make([]Task, tasks), Placed: placed}
 	}
+	hopeless := func(c *Candidate) *Candidate {
+		c.Class = NoValue
+		return c
+	}
 	limited := job.Step{Lasting: true, Need: small, PerInstance: 2}
 	labelled := job.Step{Lasting: true, Need: small, Labels: []string{"y"}}
 	for _, c := range []struct {
@@ -51,6 +55,12 @@
 		{"short tasks will end", busy(), []*Candidate{candidate(1, limited, nil), candidate(8, job.Step{Need: large, PerInstance: 1}, map[string]int{"a": 1})}, nil},
 		{"a label", free(), []*Candidate{candidate(1, labelled, nil)}, []Missing{{Labels: []string{"y"}, Need: small, Instances: 1}}},
 		{"too large for an instance", free(), []*Candidate{candidate(1, job.Step{Lasting: true, Need: job.Resources{CPU: 17_000}}, nil)}, nil},
+		{"without value, room for it", busy(), []*Candidate{hopeless(candidate(8, job.Step{Need: large}, nil))}, nil},
+		{"without value, a label", free(), []*Candidate{hopeless(candidate(8, job.Step{Need: small, Labels: []string{"y"}}, nil))}, []Missing{{Labels: []string{"y"}, Need: small, Instances: 1, Behind: true}}},
+		{"without value, a gang", free(), []*Candidate{hopeless(candidate(4, job.Step{Need: large, Gang: true}, nil))}, []Missing{{Need: large, Instances: 2, Behind: true}}},
+		{"without value, beside valued ones", free(), []*Candidate{
+			candidate(1, job.Step{Need: small, Labels: []string{"y"}}, nil), hopeless(candidate(8, job.Step{Need: large, Labels: []string{"y"}}, nil)),
+		}, []Missing{{Labels: []string{"y"}, Need: small, Instances: 1}}},
 		{"no ticket yet", nil, []*Candidate{{Job: "j", Step: &limited, Tasks: make([]Task, 1), Tickets: map[string]string{}}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -58,9 +58,11 @@
 // reserve withholds a node from all later candidates of this round, once a step has
 // waited for reserveAfter: the one that it reserved before, so that the node's tasks
 // end one after another and nothing takes their place, or else the one with the most
-// free CPU. Jobs without value left and backfill reserve nothing.
+// free CPU. Tasks that aren't valued reserve nothing: that would keep capacity from valued
+// ones that arrive, which fill the fullest nodes first and so leave others empty while
+// less than half of the pool is in use.
 func (p *planner) reserve(c *Candidate) {
-	if p.now.Sub(c.WaitingSince) < reserveAfter || c.Class >= NoValue {
+	if p.now.Sub(c.WaitingSince) < reserveAfter || !c.Class.Valued() {
 		return
 	}
 	n := p.reserved[c.Key()]
--- a/internal/schedule/runnable.go
+++ b/internal/schedule/runnable.go
@@ -37,6 +37,20 @@
 	return out
 }
 
+// Unit returns what has to start at once: a task, or a whole gang.
+func (c *Candidate) Unit() job.Resources {
+	if c.Step.Gang {
+		return c.Step.Need.Times(len(c.Tasks))
+	}
+	return c.Step.Need
+}
+
+// FitsSize reports whether a task fits an instance of the given size; true if no size is
+// known.
+func (c *Candidate) FitsSize(size job.Resources) bool {
+	return size == (job.Resources{}) || c.Step.Allocation().Fits(size)
+}
+
 func (c *Candidate) runsOn(nodes []*Node) bool {
 	for _, n := range nodes {
 		if c.Step.Allocation().Fits(n.Capacity) && c.feasible(n) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -34,6 +34,11 @@
 	Backfill
 )
 
+// Valued reports whether callers gain by tasks of the class. Limits, machines and
+// reservations go to valued tasks first, backlogs and forecasts consist of them, and the
+// others get what they leave: no waiting task is without a claim to what it needs to start.
+func (c Class) Valued() bool { return c <= Late }
+
 // Task is one waiting task.
 type Task struct {
 	Index int
