A waiting task that needs nothing asks for no further instance

Cause: read in the diff. A task without value left whose need is nothing fits any instance zero times by division, so each round asked for one more instance. Change: an instance that suits it counts for at least one task. serveMissingBehind splits its list in one pass. Measured: the new case of TestMissingInstances fails before; go test of schedule, rebalance and owner passes.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -107,7 +107,8 @@
 }
 
 // withinAllowance returns how many of a candidate's waiting tasks its team may still
-// start, of a gang all or none. The map holds what remains of each allowance; the count is deducted from it.
+// start, of a gang all or none. The map holds what remains of each allowance; the count is
+// deducted from it.
 func withinAllowance(c *schedule.Candidate, remaining map[*job.Resources]job.Resources) int {
 	if c.Allowance == nil {
 		return len(c.Tasks)
--- a/internal/rebalance/missing.go
+++ b/internal/rebalance/missing.go
@@ -62,10 +62,11 @@
 	return moves, left, unserved
 }
 
-// serveMissingBehind moves machines that are off and that no pool lacks to those whose tasks without value left
-// can start at no instance. Instances that are missing together, for a gang, come together or
-// not at all, since a part of them would be returned unused.
+// serveMissingBehind moves machines that are off, and that no pool lacks, to pools whose tasks
+// without value left can start at no instance. Instances that are missing together, for a
+// gang, come together or not at all, since a part of them would be returned unused.
 func (s Snapshot) serveMissingBehind(available []machine.Machine) []Move {
+	off := slices.DeleteFunc(slices.Clone(available), func(m machine.Machine) bool { return m.Pool != s.SparePool })
 	var moves []Move
 	for _, pool := range slices.Sorted(maps.Keys(s.Demand)) {
 		arriving := s.Arriving[pool]
@@ -75,18 +76,20 @@
 			if !missing.Behind {
 				continue
 			}
-			var suitable []machine.Machine
-			for _, m := range available {
-				if m.Pool == s.SparePool && missing.suits(m) && len(suitable) < missing.Instances-expected {
+			var suitable, others []machine.Machine
+			for _, m := range off {
+				if missing.suits(m) && len(suitable) < missing.Instances-expected {
 					suitable = append(suitable, m)
+				} else {
+					others = append(others, m)
 				}
 			}
 			if len(suitable) < missing.Instances-expected {
 				continue
 			}
+			off = others
 			for _, m := range suitable {
 				moves = append(moves, Move{Machine: m.Name, From: m.Pool, To: pool, Instance: m.Instance})
-				available = slices.DeleteFunc(slices.Clone(available), func(a machine.Machine) bool { return a.Name == m.Name })
 			}
 		}
 	}
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -89,7 +89,7 @@
 	for _, hosts := range [][]host{present, further} {
 		for i := range hosts {
 			if hosts[i].suits(c) {
-				units -= need.TimesIn(hosts[i].left)
+				units -= max(need.TimesIn(hosts[i].left), 1)
 			}
 		}
 	}
--- a/internal/schedule/missing_test.go
+++ b/internal/schedule/missing_test.go
@@ -56,6 +56,7 @@
 		{"a label", free(), []*Candidate{candidate(1, labelled, nil)}, []Missing{{Labels: []string{"y"}, Need: small, Instances: 1}}},
 		{"too large for an instance", free(), []*Candidate{candidate(1, job.Step{Lasting: true, Need: job.Resources{CPU: 17_000}}, nil)}, nil},
 		{"without value, room for it", busy(), []*Candidate{hopeless(candidate(8, job.Step{Need: large}, nil))}, nil},
+		{"without value or need", free(), []*Candidate{hopeless(candidate(1, job.Step{}, nil))}, nil},
 		{"without value, a label", free(), []*Candidate{hopeless(candidate(8, job.Step{Need: small, Labels: []string{"y"}}, nil))}, []Missing{{Labels: []string{"y"}, Need: small, Instances: 1, Behind: true}}},
 		{"without value, a gang", free(), []*Candidate{hopeless(candidate(4, job.Step{Need: large, Gang: true}, nil))}, []Missing{{Need: large, Instances: 2, Behind: true}}},
 		{"without value, beside valued ones", free(), []*Candidate{
