Soak: the owner of a pool is found by its address

Cause: ownerOf looked for a daemon's name, d-0 to d-3, among the members' names, which begin with the address for peers. It never matched, so that the series of restarts always killed or paused the first daemon. Change: the address is compared.

--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -178,7 +178,7 @@
 		return err
 	}
 	s := h.settings(n, p.storeProxy.addr())
-	p.name, p.callersAddress = s.Instance, s.Callers
+	p.name, p.callersAddress, p.peersAddress = s.Instance, s.Callers, s.Peers
 	p.settingsFile = filepath.Join(h.dir, p.name+".json")
 	if err := writeSettings(p.settingsFile, s); err != nil {
 		return err
--- a/tools/soak/processes.go
+++ b/tools/soak/processes.go
@@ -20,6 +20,7 @@
 	name           string
 	settingsFile   string
 	callersAddress string
+	peersAddress   string
 	checker        *checker
 	storeClient    *memstore.Client
 	storeProxy     *proxy
@@ -63,6 +64,10 @@
 	close(l.done)
 }
 
+// isMember reports whether a member's name in the store, which begins with the address for
+// peers, is that of the process or of a former life of it.
+func (p *process) isMember(name string) bool { return strings.HasPrefix(name, p.peersAddress+"#") }
+
 // lastLine returns the last line of the process's log.
 func (p *process) lastLine() string {
 	data, err := os.ReadFile(p.logFile.Name())
--- a/tools/soak/series.go
+++ b/tools/soak/series.go
@@ -343,7 +343,7 @@
 				continue
 			}
 			for _, d := range h.daemons {
-				if d.name == owner.Member {
+				if d.isMember(owner.Member) {
 					return d
 				}
 			}
