--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -333,6 +333,22 @@
 	return !maps.Equal(before, g.owners)
 }
 
+// Swap gives two members of a group each other's partitions, in a new generation.
+func (s *Store) Swap(name, a, b string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.group(name)
+	g.generation++
+	for part, owner := range g.owners {
+		switch owner {
+		case a:
+			g.owners[part], g.since[part] = b, g.generation
+		case b:
+			g.owners[part], g.since[part] = a, g.generation
+		}
+	}
+}
+
 // Compact drops the history of all partitions: reads from earlier offsets fail with
 // store.ErrExpired, and Newest still lists the newest record of each key. It returns
 // the number of records dropped.
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -44,8 +45,12 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	var rounds []string
+	var rounds, deals, outage []string
 	wg.Go(func() { rounds = h.restartsInSeries(ctx) })
+	wg.Go(func() { deals = h.dealAnewInSeries(ctx) })
+	if h.seed%seedsPerOutage == 0 {
+		wg.Go(func() { outage = h.outageOfAll(ctx) })
+	}
 	for ctx.Err() == nil {
 		f := h.drawFault(random)
 		duration := time.Duration(300+random.IntN(4000)) * time.Millisecond
@@ -54,7 +59,7 @@
 		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
-	return append(schedule, rounds...)
+	return slices.Concat(schedule, rounds, deals, outage)
 }
 
 func (h *harness) inject(ctx context.Context, f fault, duration time.Duration) {
