--- a/tools/soak/dealtanew.go
+++ b/tools/soak/dealtanew.go
@@ -36,9 +36,12 @@
 	}
 	<-ctx.Done()
 	drawn, _ := ctx.Deadline()
-	for begin := true; begin || !h.checker.seenEffect(dealtAnewKind) && time.Now().Before(drawn.Add(seriesTimeout)); begin = false {
+	for {
 		time.Sleep(seriesAfter)
 		schedule = append(schedule, h.dealAnew(random, unitmap.Fleet, false))
+		if h.checker.seenEffect(dealtAnewKind) || time.Now().After(drawn.Add(seriesTimeout)) {
+			break
+		}
 	}
 	h.submitWideGang(context.Background(), dealtAnewCaller)
 	return schedule
