What waits behind takes only what it can start with

Cause: the share behind the valued claims was given also where no task could start with it, and where tasks wait for room and not for the limit; a late gang had all that was left kept for it while most of the limit was in use.

Change: work without value claims as far as it has room now, and gets nothing if its unit doesn't fit. What is left is kept for a valued unit that has room, and only while less than half of the limit is in use, which is what users are promised.

--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -174,20 +174,22 @@
 	return uses
 }
 
-// waitingByTeam returns what the teams' waiting tasks in the pool need. What can't be valued
-// work that the pool could run now counts as Behind, so that it takes no part of a limit
-// from pools where it could be used. What the team may never run, or no instance of the
-// pool's size, isn't counted.
+// waitingByTeam returns what the teams' waiting tasks in the pool need. Valued tasks that its
+// instances could run if they were empty count as Waiting. Behind them count those without
+// value that have room now, and what no present instance could run, as an instance comes only
+// for what is within its team's limit. The others don't wait for the limit, and a part of it
+// that they got would be kept from pools that could use it.
 func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]quota.Use {
+	nodes := u.nodes(pool, now)
+	room := schedule.Room(u.waiting[pool], nodes)
 	runnable := map[*schedule.Candidate]bool{}
-	for _, candidate := range schedule.Runnable(u.waiting[pool], u.nodes(pool, now)) {
+	for _, candidate := range schedule.Runnable(u.waiting[pool], nodes) {
 		runnable[candidate] = true
 	}
-	size := u.meanInstance[pool]
 	uses := map[string]quota.Use{}
 	for _, candidate := range u.waiting[pool] {
 		e := u.jobs[candidate.Job]
-		if e == nil || !runnable[candidate] && !candidate.FitsSize(size) {
+		if e == nil {
 			continue
 		}
 		team := e.job.Submission.Team
@@ -195,14 +197,19 @@
 			continue
 		}
 		use := uses[team]
-		need := candidate.Step.Need.Times(len(candidate.Tasks))
-		oldest := quota.Oldest{Need: candidate.Unit(), Waited: now.Sub(candidate.WaitingSince)}
-		if runnable[candidate] && candidate.Class.Valued() {
-			use.Waiting = use.Waiting.Add(need)
-			use.Oldest = use.Oldest.Older(oldest)
-		} else {
-			use.Behind = use.Behind.Add(need)
-			use.OldestBehind = use.OldestBehind.Older(oldest)
+		step := quota.Oldest{Need: candidate.Unit(), Waited: now.Sub(candidate.WaitingSince)}
+		switch {
+		case runnable[candidate] && candidate.Class.Valued():
+			use.Waiting = use.Waiting.Add(candidate.Step.Need.Times(len(candidate.Tasks)))
+			if room[candidate] > 0 {
+				use.Oldest = use.Oldest.Older(step)
+			}
+		case room[candidate] > 0:
+			use.Behind = use.Behind.Add(candidate.Step.Need.Times(room[candidate]))
+			use.OldestBehind = use.OldestBehind.Older(step)
+		case !runnable[candidate] && candidate.FitsSize(u.meanInstance[pool]):
+			use.Behind = use.Behind.Add(step.Need)
+			use.OldestBehind = use.OldestBehind.Older(step)
 		}
 		uses[team] = use
 	}
--- a/internal/owner/without_value_test.go
+++ b/internal/owner/without_value_test.go
@@ -125,3 +125,26 @@
 		})
 	}
 }
+
+// Guards against work without value left that waits for room and takes the spare part of its
+// team's limit meanwhile: work in time that arrives in another pool couldn't begin at once.
+func TestWorkWithoutRoomTakesNoLimit(t *testing.T) {
+	inVirtualTime(t, 4, func(c *cluster, is *is.I) {
+		for n, i := range []string{"i-0", "i-1", "i-2", "i-3"} {
+			c.instances[i].duration = time.Hour
+			c.instances[i].pool = []string{testPool, otherPool}[n%2]
+		}
+		grants := newGrantLoop(c, 8000, map[string]*daemon{testPool: c.startOwner(64), otherPool: c.startOwnerOf(otherUnit, 64)})
+		c.submitTo(otherPool, "00000000000000cc", smallStep(8)) // takes all of it, without a team
+		time.Sleep(time.Second)
+		gang := job.Step{Count: 2, Need: job.Resources{CPU: 3000, Memory: 100}, Estimate: time.Second, Gang: true}
+		c.submitForTeam(otherPool, "00000000000000dd", time.Minute, gang)
+		for range 10 {
+			time.Sleep(150 * time.Millisecond)
+			is.NoErr(grants.pass())
+		}
+		c.submitForTeam(testPool, jobA, 0, smallStep(2))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(c.startsOf(jobA)), 2)
+	})
+}
--- a/internal/quota/divide.go
+++ b/internal/quota/divide.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// accumulateAfter is how long a valued task waits until what is left of its team's limit
-	// is kept for it although it isn't enough yet: users accept a wait of up to 3 s while half
-	// of the limit is unused.
+	// accumulateAfter is how long a valued task waits, while less than half of its team's
+	// limit is in use, until what is left is kept for it although it isn't enough yet: users
+	// accept a wait of up to 3 s then.
 	accumulateAfter = 2 * time.Second
-	// never is the same for tasks behind them: it would keep the limit from valued ones.
+	// never is the same for other tasks: it would keep the limit from what can start now.
 	never = time.Duration(math.MaxInt64)
 )
 
@@ -69,18 +69,32 @@
 	return oldest
 }
 
-// behindShare returns how much of a team's spare limit goes to the claims behind the
-// valued ones: half, so that valued work that arrives in any pool can begin at once, or
-// the oldest unit if that is more, which would else wait without end.
-func behindShare(spare int, claims []claim) int {
+// divideBehind returns the share that one of several claims behind the valued ones gets of a
+// team's spare limit, and that of all of them. They get half, so that valued work that arrives
+// in any pool can begin at once, or the oldest unit if that is more, which would else wait
+// without end. A claim gets nothing if a task couldn't start with its share.
+func divideBehind(spare int, claims []claim, own int) (share, all int) {
+	for n, c := range claims {
+		if c.unit > spare {
+			claims[n].amount = 0
+		}
+	}
 	oldest := oldestOf(claims)
 	if oldest < 0 {
-		return 0
+		return 0, 0
 	}
-	if unit := claims[oldest].unit; unit <= spare {
-		return max(spare/2, unit)
+	total := max(spare/2, claims[oldest].unit)
+	for n, c := range claims {
+		s := divide(total, claims, n, never)
+		if s < min(c.unit, c.amount) {
+			s = 0
+		}
+		all += s
+		if n == own {
+			share = s
+		}
 	}
-	return spare / 2
+	return share, all
 }
 
 // fairShare returns the share of one of several claims by max-min fairness: claims up to
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,11 +26,11 @@
 	// Running is the need of recorded runs.
 	Running job.Resources
 	// Waiting is the need of the tasks that are ready to start, valued and such that the
-	// pool could run them now; Oldest is of them.
+	// pool's instances could run them; Oldest is of those that have room now.
 	Waiting job.Resources
 	Oldest  Oldest
-	// Behind is the need of the other tasks that are ready to start, which get what Waiting
-	// of all pools leaves. Owners of earlier versions don't report it, nor the oldest.
+	// Behind is the need of other tasks that the limit keeps from starting or from getting an
+	// instance. They get what Waiting of all pools leaves. Owners of earlier versions don't report it, nor the oldest.
 	Behind       job.Resources
 	OldestBehind Oldest
 }
@@ -142,7 +142,7 @@
 // target returns a pool's share of a team's limit: its running tasks, its waiting
 // tasks, of what those of all pools leave its tasks behind them, and a part of the rest.
 func (l *Ledger) target(pool, team string, limit job.Resources, pools []string, of dimension) int {
-	running, waiting, behind, own := 0, 0, 0, 0
+	running, waiting, own := 0, 0, 0
 	claims, claimsBehind := make([]claim, len(pools)), make([]claim, len(pools))
 	for n, other := range pools {
 		use := l.reported[other][team]
@@ -153,17 +153,20 @@
 		claimsBehind[n] = claim{amount: of(use.Behind), unit: of(use.OldestBehind.Need), waited: use.OldestBehind.Waited}
 		running += of(use.Running)
 		waiting += claims[n].amount
-		behind += claimsBehind[n].amount
 	}
 	use := l.reported[pool][team]
 	left := max(of(limit)-running, 0)
 	if waiting > left {
-		return of(use.Running) + divide(left, claims, own, accumulateAfter)
+		accumulate := never
+		if running < of(limit)/2 {
+			accumulate = accumulateAfter
+		}
+		return of(use.Running) + divide(left, claims, own, accumulate)
 	}
 	spare := left - waiting
-	forBehind := min(behind, behindShare(spare, claimsBehind))
-	return of(use.Running) + claims[own].amount + divide(forBehind, claimsBehind, own, never) +
-		spareShare(spare-forBehind, len(pools), of(use.Running)+claims[own].amount, running+waiting)
+	behind, allBehind := divideBehind(spare, claimsBehind, own)
+	return of(use.Running) + claims[own].amount + behind +
+		spareShare(spare-allBehind, len(pools), of(use.Running)+claims[own].amount, running+waiting)
 }
 
 // spareShare returns a pool's part of what is neither used nor claimed: half of it is
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// Guards against a task without value left that needs more than is spare, and keeps a part of
+// it from the pools that could use it.
+func TestWorkBehindThatCannotStartTakesNothing(t *testing.T) {
+	is := is.New(t)
+	pools := []string{"a", "b"}
+	behind := Use{Behind: cores(12), OldestBehind: Oldest{Need: cores(12), Waited: time.Hour}}
+	busy := Use{Running: cores(8)}
+	is.Equal(settled(16, pools, map[string]Use{"a": behind, "b": busy})["b"], settled(16, pools, map[string]Use{"b": busy})["b"])
+	// Nor does a valued one while half of the limit is in use.
+	small := Use{Running: cores(8), Waiting: cores(50), Oldest: Oldest{Need: cores(1), Waited: time.Second}}
+	large := Use{Waiting: cores(12), Oldest: Oldest{Need: cores(12), Waited: time.Hour}}
+	is.Equal(settled(16, pools, map[string]Use{"a": large, "b": small})["b"], 8+4)
+}
+
 // Guards against shares of a limit that are too small for a task in each of several pools:
 // none of them could ever start.
 func TestSharesAreLargeEnoughForATask(t *testing.T) {
--- a/internal/schedule/missing_test.go
+++ b/internal/schedule/missing_test.go
@@ -80,3 +80,21 @@
 	is.Equal(awaited, map[string]bool{"b": true})
 	is.Equal(missing, []Missing{{Need: c.Step.Need, Instances: 1}})
 }
+
+func TestRoom(t *testing.T) {
+	is := is.New(t)
+	size := job.Resources{CPU: 16_000}
+	nodes := []*Node{{ID: "a", Capacity: size, Free: job.Resources{CPU: 7000}}, {ID: "b", Capacity: size, Free: job.Resources{CPU: 10_000}, Labels: []string{"x"}}, {ID: "c", Capacity: size, Free: job.Resources{CPU: -1000}}}
+	room := func(tasks int, step job.Step) int {
+		c := &Candidate{Step: &step, Tasks: make([]Task, tasks), Placed: map[string]int{"a": 1}}
+		return Room([]*Candidate{c}, nodes)[c]
+	}
+	need := job.Resources{CPU: 3000}
+	is.Equal(room(9, job.Step{Need: need}), 2+3)
+	is.Equal(room(4, job.Step{Need: need}), 4)
+	is.Equal(room(9, job.Step{Need: need, Labels: []string{"x"}}), 3)
+	is.Equal(room(9, job.Step{Need: need, PerInstance: 2}), 1+2)
+	is.Equal(room(5, job.Step{Need: need, Gang: true}), 5)
+	is.Equal(room(6, job.Step{Need: need, Gang: true}), 0)
+	is.Equal(room(1, job.Step{Need: job.Resources{CPU: 11_000}}), 0)
+}
--- a/internal/schedule/runnable.go
+++ b/internal/schedule/runnable.go
@@ -45,6 +45,46 @@
 	return c.Step.Need
 }
 
+// Room returns how many tasks of each candidate the nodes' free capacity lets start now, each
+// candidate taken by itself; of a gang all or none.
+func Room(candidates []*Candidate, nodes []*Node) map[*Candidate]int {
+	places := map[shape]int{}
+	out := map[*Candidate]int{}
+	for _, c := range candidates {
+		tasks := 0
+		if c.Step.PerInstance > 0 || c.Tickets != nil {
+			tasks = c.places(nodes)
+		} else {
+			s := shapeOf(c.Step)
+			if _, known := places[s]; !known {
+				places[s] = c.places(nodes)
+			}
+			tasks = places[s]
+		}
+		if c.Step.Gang && tasks < len(c.Tasks) {
+			tasks = 0
+		}
+		out[c] = min(tasks, len(c.Tasks))
+	}
+	return out
+}
+
+// places returns how many tasks of the step the nodes' free capacity has room for.
+func (c *Candidate) places(nodes []*Node) int {
+	need, sum := c.Step.Allocation(), 0
+	for _, n := range nodes {
+		if !c.feasible(n) || !need.Fits(n.Free) {
+			continue
+		}
+		tasks := max(need.TimesIn(n.Free), 1)
+		if c.Step.PerInstance > 0 {
+			tasks = min(tasks, c.Step.PerInstance-c.Placed[n.ID])
+		}
+		sum += tasks
+	}
+	return sum
+}
+
 // FitsSize reports whether a task fits an instance of the given size; true if no size is
 // known.
 func (c *Candidate) FitsSize(size job.Resources) bool {
