A task without value beside long-running ones claims the limit for its instance

Such a task counts behind the valued ones only as far as it has room, or if no present instance could run it. Where long-running tasks hold the instances it has no room and counted as one that could run there: without a claim to its team's limit no machine is asked for, as only tasks within their allowance are.

Change: what counts is whether the end of all short tasks would give it room, as in MissingInstances.

Measured: TestTasksWithoutValueClaimWhatTheyCanUse fails on ("0 != 6000") and passes now.

--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -176,12 +176,12 @@
 
 // waitingByTeam returns what the teams' waiting tasks in the pool need. Valued tasks that its
 // instances could run if they were empty count as Waiting. Behind them count those without
-// value that have room now, and what no present instance could run, as an instance comes only
-// for what is within its team's limit. The others don't wait for the limit, and a part of it
+// value that have room now, and what no present instance could run once its short tasks have
+// ended, as an instance comes only for what is within its team's limit. The others don't wait for the limit, and a part of it
 // that they got would be kept from pools that could use it.
 func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]quota.Use {
 	nodes := u.nodes(pool, now)
-	room := schedule.Room(u.waiting[pool], nodes)
+	room, roomLater := schedule.Room(u.waiting[pool], nodes), schedule.Room(u.waiting[pool], withoutShortTasks(nodes))
 	runnable := map[*schedule.Candidate]bool{}
 	for _, candidate := range schedule.Runnable(u.waiting[pool], nodes) {
 		runnable[candidate] = true
@@ -207,7 +207,7 @@
 		case room[candidate] > 0:
 			use.Behind = use.Behind.Add(candidate.Step.Need.Times(room[candidate]))
 			use.OldestBehind = use.OldestBehind.Older(step)
-		case !runnable[candidate] && candidate.FitsSize(u.meanInstance[pool]):
+		case roomLater[candidate] == 0 && candidate.FitsSize(u.meanInstance[pool]):
 			use.Behind = use.Behind.Add(step.Need)
 			use.OldestBehind = use.OldestBehind.Older(step)
 		}
@@ -216,6 +216,18 @@
 	return uses
 }
 
+// withoutShortTasks returns the nodes as they are once all tasks have ended that end by
+// themselves.
+func withoutShortTasks(nodes []*schedule.Node) []*schedule.Node {
+	out := make([]*schedule.Node, len(nodes))
+	for i, n := range nodes {
+		later := *n
+		later.Free = n.Capacity.Sub(n.LongRunning)
+		out[i] = &later
+	}
+	return out
+}
+
 // withinLimit reports whether what has to start at once of a candidate, a task or a
 // whole gang, is within a team's limit.
 func withinLimit(c *schedule.Candidate, limit job.Resources) bool {
--- a/internal/owner/quota_test.go
+++ b/internal/owner/quota_test.go
@@ -15,17 +15,23 @@
 // waitingOf returns what a unit of four instances, each with 10 of 16 cores free,
 // reports as waiting for a team with a limit of 100 cores.
 func waitingOf(steps ...job.Step) quota.Use {
+	return waitingBeside(usage{allocated: job.Resources{CPU: 6000}}, schedule.InTime, steps...)
+}
+
+// waitingBeside is waitingOf for steps of a class and what runs at each instance.
+func waitingBeside(running usage, class schedule.Class, steps ...job.Step) quota.Use {
 	u := peakUnit(4, 0, 0)
 	for _, sess := range u.sessions {
 		clear(sess.runs)
-		sess.usage = usage{allocated: job.Resources{CPU: 6000}}
+		sess.usage = running
 	}
+	u.measureInstances()
 	u.View.Catalog().AddTeam(&catalog.Team{Name: testTeam, Limit: job.Resources{CPU: 100_000}}, nil)
 	for number := range steps {
 		id := string(rune('a' + number))
 		e := newEntry(&job.Submission{ID: id, Queue: testQueue, Pool: testPool, Team: testTeam, Steps: steps[number : number+1]})
 		u.addEntry(e)
-		c := &schedule.Candidate{Job: id, Step: &e.job.Submission.Steps[0], Class: schedule.InTime}
+		c := &schedule.Candidate{Job: id, Step: &e.job.Submission.Steps[0], Class: class}
 		for index := range steps[number].Count {
 			c.Tasks = append(c.Tasks, schedule.Task{Index: index})
 		}
@@ -59,3 +65,20 @@
 	limits := map[string]job.Resources{testTeam: {CPU: 100_000}}
 	is.True(ledger.Grants("other", limits, []string{"hopeless", "other"})[testTeam].CPU >= 20_000)
 }
+
+// Guards against a job without value left that has no part of its team's limit to start with,
+// or to get an instance by, and against one that takes a part while it waits for room.
+func TestTasksWithoutValueClaimWhatTheyCanUse(t *testing.T) {
+	is := is.New(t)
+	claim := func(taken, longRunning, tasks, need int) int {
+		running := usage{allocated: job.Resources{CPU: taken}, longRunningAllocation: job.Resources{CPU: longRunning}}
+		use := waitingBeside(running, schedule.NoValue, job.Step{Count: tasks, Need: job.Resources{CPU: need}, Estimate: time.Second})
+		is.Equal(use.Waiting.CPU, 0)
+		return use.Behind.CPU
+	}
+	is.Equal(claim(6000, 0, 3, 6000), 3*6000)
+	is.Equal(claim(6000, 0, 9, 6000), 4*6000)      // room for four
+	is.Equal(claim(16_000, 0, 9, 6000), 0)         // no room, until short tasks end
+	is.Equal(claim(16_000, 12_000, 9, 6000), 6000) // nor then: an instance has to come
+	is.Equal(claim(16_000, 12_000, 9, 17_000), 0)  // larger than any instance
+}
--- a/internal/owner/without_value_test.go
+++ b/internal/owner/without_value_test.go
@@ -73,22 +73,33 @@
 		ago       time.Duration
 		step      job.Step
 		instances int
+		// held is the number of long-running tasks that hold the instances, four each.
+		held int
 	}{
-		{"a task without value", time.Minute, task, 2},
-		{"a gang without value", time.Minute, gang, 2},
-		{"a task without value or instance", time.Minute, task, 0},
-		{"a gang without value or instance", time.Minute, gang, 0},
-		{"a gang without value and half of the instances", time.Minute, gang, 1},
-		{"a task in time", 0, task, 2},
-		{"a task in time without instance", 0, task, 0},
+		{"a task without value", time.Minute, task, 2, 0},
+		{"a gang without value", time.Minute, gang, 2, 0},
+		{"a task without value or instance", time.Minute, task, 0, 0},
+		{"a gang without value or instance", time.Minute, gang, 0, 0},
+		{"a gang without value and half of the instances", time.Minute, gang, 1, 0},
+		{"a task without value beside long-running ones", time.Minute, task, 2, 8},
+		{"a task in time", 0, task, 2, 0},
+		{"a task in time without instance", 0, task, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inVirtualTime(t, c.instances, func(cl *cluster, is *is.I) {
 				d := cl.startOwner(64)
 				grants, machines := newGrantLoop(cl, 8000, map[string]*daemon{testPool: d}), &leaderLoop{c: cl, d: d, spare: 2}
-				time.Sleep(200 * time.Millisecond)
+				if c.held > 0 {
+					for _, i := range cl.instances {
+						i.duration = time.Hour
+					}
+					service := longStep(c.held)
+					service.Lasting = true
+					cl.submit("00000000000000cc", service)
+				}
+				time.Sleep(2 * time.Second)
 				cl.submitForTeam(testPool, jobA, c.ago, c.step)
-				for range 40 {
+				for range 30 {
 					time.Sleep(150 * time.Millisecond)
 					is.NoErr(grants.pass())
 					_, err := machines.pass()
