--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -177,8 +177,8 @@
 // waitingByTeam returns what the teams' waiting tasks in the pool need. Valued tasks that its
 // instances could run if they were empty count as Waiting. Behind them count those without
 // value that have room now, and what no present instance could run once its short tasks have
-// ended, as an instance comes only for what is within its team's limit. The others don't wait for the limit, and a part of it
-// that they got would be kept from pools that could use it.
+// ended, as an instance comes only for what is within its team's limit. The others don't wait
+// for the limit, and a part of it that they got would be kept from pools that could use it.
 func (u *Unit) waitingByTeam(pool string, c *catalog.Catalog, now time.Time) map[string]quota.Use {
 	nodes := u.nodes(pool, now)
 	room, roomLater := schedule.Room(u.waiting[pool], nodes), schedule.Room(u.waiting[pool], withoutShortTasks(nodes))
