--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -43,6 +43,8 @@
 	s.lossRecorded = true
 	s.outOfContact.Store(true)
 	left := time.Until(time.UnixMilli(l.LapsedBy)) + wallClockMargin
+	s.unit.Logger.Info("instance.loss_applied", zap.String("instance", s.reg.ID), zap.Duration("left", left),
+		zap.Duration("without_record", time.Duration(s.leaseExpiry.Load())-s.unit.Clock()))
 	bringForward(&s.leaseExpiry, s.unit.Clock()+left)
 	bringForward(&s.unboundExpiry, s.unit.Clock()+left)
 }
@@ -72,6 +74,7 @@
 		// The deletion of a former record may have allowed extensions since the poll failed.
 		sess.outOfContact.Store(true)
 		left := sess.lastExpiry() - u.Clock()
+		u.Logger.Info("instance.loss_recorded", zap.String("instance", sess.reg.ID), zap.Int("runs", len(sess.runs)), zap.Duration("left", left))
 		u.recordLoss(sess, &contactLoss{LapsedBy: now.Add(left).UnixMilli()})
 	}
 }
