A record of lost contact holds the time left, which its reader counts by its own clock

Cause: the record held the time of day by which all leases have expired, by the writer's clock; the next owner subtracted its own, with a margin of 3 s. Clocks that are 4 s apart took 4.0 s off the wait (instance.loss_recorded 4.74 s, read 2.87 s later as 0.86 s).

Why this works: the record was measured before it was stored, and stored before it was read; a duration counted from the read ends no earlier than the leases. It is recorded again for each 0.5 s that has passed, so a takeover puts the end off by that and the time without an owner. Records of earlier versions bind as before but say nothing of the time left; earlier versions find a date in 2150 and wait as without a record. TestRecordedLossCoversUnboundRuns reads the time left in place of the time of day, with the same bounds.

--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -21,14 +21,43 @@
 // leases there.
 const lossPrefix = "l/"
 
-// wallClockMargin covers the difference between the wall clocks of daemons.
-const wallClockMargin = 3 * time.Second
+const (
+	// lossRecordInterval is by how much the time left has to have shrunk for the record to
+	// be written again: what a takeover can add to the wait, beside the time without an owner.
+	lossRecordInterval = 500 * time.Millisecond
+	// unknownLeft is longer than any lease: the record says nothing of the time left.
+	unknownLeft = time.Hour
+)
+
+// farFuture keeps owners of an earlier version, which compare it with their time of day, from
+// concluding anything. It is within the range of a time.Duration.
+var farFuture = time.Date(2150, time.January, 1, 0, 0, 0, 0, time.UTC)
 
-// contactLoss is the record of an instance that can't be reached.
+// contactLoss is the record of an instance that can't be reached: within a time from when it
+// was stored, all leases there expire. The reader counts that time by its own clock from when
+// it has read the record, which is later. So no clock is compared with another one's.
 type contactLoss struct {
-	// LapsedBy is the Unix time in milliseconds by which all leases there have
-	// expired. The field's name is stored with it.
+	// LapsedBy is a Unix time in milliseconds by which the leases have expired, as the
+	// earlier versions write and read it. It isn't used.
 	LapsedBy int64
+	// LeftMS is the time left in milliseconds; nil in records of earlier versions. The
+	// fields' names are stored with them.
+	LeftMS *int64
+}
+
+// newContactLoss returns the record of a loss with a time left, rounded up.
+func newContactLoss(left time.Duration) contactLoss {
+	ms := max(0, left+time.Millisecond-1).Milliseconds()
+	return contactLoss{LapsedBy: farFuture.UnixMilli(), LeftMS: &ms}
+}
+
+// left returns the time until all leases there have expired, at most unknownLeft.
+func (l contactLoss) left() time.Duration {
+	if l.LeftMS == nil {
+		return unknownLeft
+	}
+	ms := min(max(0, *l.LeftMS), unknownLeft.Milliseconds())
+	return time.Duration(ms) * time.Millisecond
 }
 
 func decodeLoss(r store.Record) (string, contactLoss, error) {
@@ -40,13 +69,12 @@
 // applyLoss applies a former owner's record of lost contact. It may shorten the
 // wait for the leases, never prolong it.
 func (s *session) applyLoss(l contactLoss) {
-	s.lossRecorded = true
+	s.lossRecorded, s.recordedLeft = true, l.left()
 	s.outOfContact.Store(true)
-	left := time.Until(time.UnixMilli(l.LapsedBy)) + wallClockMargin
-	s.unit.Logger.Info("instance.loss_applied", zap.String("instance", s.reg.ID), zap.Duration("left", left),
+	s.unit.Logger.Info("instance.loss_applied", zap.String("instance", s.reg.ID), zap.Duration("left", l.left()),
 		zap.Duration("without_record", time.Duration(s.leaseExpiry.Load())-s.unit.Clock()))
-	bringForward(&s.leaseExpiry, s.unit.Clock()+left)
-	bringForward(&s.unboundExpiry, s.unit.Clock()+left)
+	bringForward(&s.leaseExpiry, s.unit.recordsReadAt+l.left())
+	bringForward(&s.unboundExpiry, s.unit.recordsReadAt+l.left())
 }
 
 // onPollFailed handles a failed poll. It gives the unit up if the instance has
@@ -70,12 +98,29 @@
 	}
 	sess.unreachable = true
 	if !sess.lossRecorded && len(sess.runs) > 0 {
-		sess.lossRecorded = true
 		// The deletion of a former record may have allowed extensions since the poll failed.
 		sess.outOfContact.Store(true)
 		left := sess.lastExpiry() - u.Clock()
 		u.Logger.Info("instance.loss_recorded", zap.String("instance", sess.reg.ID), zap.Int("runs", len(sess.runs)), zap.Duration("left", left))
-		u.recordLoss(sess, &contactLoss{LapsedBy: now.Add(left).UnixMilli()})
+		u.recordLoss(sess, left)
+	}
+}
+
+// renewLosses records again how much time is left at instances out of contact, so that
+// successors wait for less. A record is made only when it can be stored at once: what it says
+// is counted from its storage on.
+func (u *Unit) renewLosses() {
+	if u.commit.inFlight {
+		return
+	}
+	for _, sess := range u.sessions {
+		if !sess.lossRecorded || sess.clearingLoss || len(sess.runs) == 0 {
+			continue
+		}
+		left := max(0, sess.lastExpiry()-u.Clock())
+		if sess.recordedLeft-left >= lossRecordInterval {
+			u.recordLoss(sess, left)
+		}
 	}
 }
 
@@ -105,31 +150,35 @@
 		return
 	}
 	sess.clearingLoss = true
-	u.recordLoss(sess, nil)
+	u.dropLoss(sess)
 	u.afterCommit(func() {
-		sess.clearingLoss = false
+		sess.clearingLoss, sess.lossRecorded = false, false
 		if !sess.unreachable {
-			sess.lossRecorded = false
 			sess.outOfContact.Store(false)
 		}
 	})
 }
 
-// recordLoss records a loss of contact, or with nil deletes the record.
-func (u *Unit) recordLoss(sess *session, l *contactLoss) {
-	key := lossPrefix + sess.reg.ID
-	if l == nil {
-		u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: key})
-		delete(u.contactLosses, sess.reg.ID)
-		return
-	}
+// recordLoss records a loss of contact with the time left there. While the deletion of a
+// former record is under way it must not be called: leases would be extended after the
+// deletion, beside the new record.
+func (u *Unit) recordLoss(sess *session, left time.Duration) {
+	l := newContactLoss(left)
 	value, err := msgpack.Marshal(l)
 	if err != nil {
 		u.Logger.Error("loss.encode", zap.Error(err))
 		return
 	}
-	u.contactLosses[sess.reg.ID] = *l
-	u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: key, Value: value})
+	sess.lossRecorded, sess.recordedLeft = true, l.left()
+	u.contactLosses[sess.reg.ID] = l
+	u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: lossPrefix + sess.reg.ID, Value: value})
+	u.Meter.lossRecords.Inc(1)
+}
+
+// dropLoss deletes the record of a loss of contact.
+func (u *Unit) dropLoss(sess *session) {
+	u.commit.extraRecords = append(u.commit.extraRecords, store.Record{Key: lossPrefix + sess.reg.ID})
+	delete(u.contactLosses, sess.reg.ID)
 }
 
 // lost reports whether the instance has been out of contact for so long that it gets no new
--- a/internal/owner/meter.go
+++ b/internal/owner/meter.go
@@ -21,6 +21,8 @@
 	restarts tally.Counter
 	// misdirected counts runs at another incarnation than their start was meant for.
 	misdirected tally.Counter
+	// lossRecords counts records of lost contact.
+	lossRecords tally.Counter
 	scope       tally.Scope
 }
 
@@ -75,6 +77,7 @@
 		pollFailed:  scope.Counter("looks_failed"),
 		restarts:    scope.Counter("instance_restarts"),
 		misdirected: scope.Counter("misdirected_runs"),
+		lossRecords: scope.Counter("loss_records"),
 		scope:       scope,
 	}
 	for _, how := range []job.End{job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken, job.EndAlone, job.EndLost} {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -61,8 +61,10 @@
 	knownSince time.Time
 	// unreachable is set by a failed poll or unsent start until a poll succeeds.
 	unreachable bool
-	// lossRecorded: the store holds a record of the lost contact.
+	// lossRecorded: the store holds a record of the lost contact, in which recordedLeft is
+	// left.
 	lossRecorded bool
+	recordedLeft time.Duration
 	// clearingLoss: the deletion of that record is under way.
 	clearingLoss bool
 	// lastApplied is the number of the last end applied, lastRecorded that of the
@@ -321,7 +323,7 @@
 	sess.cancel()
 	delete(u.sessions, sess.reg.ID)
 	if sess.lossRecorded {
-		u.recordLoss(sess, nil)
+		u.dropLoss(sess)
 	}
 }
 
--- a/internal/owner/suspension_test.go
+++ b/internal/owner/suspension_test.go
@@ -149,7 +149,7 @@
 				sess.leaseExpiry.Store(int64(c.clock() + boundLease))
 				sess.unboundExpiry.Store(int64(c.clock() + unboundLease))
 				d.unit.onPollFailed(sess, instance.ErrUnknown, time.Now())
-				recorded = time.Until(time.UnixMilli(d.unit.contactLosses["i-0"].LapsedBy))
+				recorded = d.unit.contactLosses["i-0"].left()
 			}))
 			is.True(recorded > want-2*time.Millisecond)
 			is.True(recorded <= want)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -49,6 +49,7 @@
 	if !ok {
 		return 0, false
 	}
+	u.recordsReadAt = u.Clock()
 	now := time.Now()
 	u.load(records, now)
 	u.loaded = true
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -145,6 +145,8 @@
 	staleSource string
 	catchUp     catchUp
 	takenOverAt time.Duration
+	// recordsReadAt is when the unit's records had been read, on the boot clock.
+	recordsReadAt time.Duration
 
 	commit  commit
 	planDue bool
@@ -302,6 +304,7 @@
 	now := time.Now()
 	u.syncSessions(now)
 	u.expireLeases(now)
+	u.renewLosses()
 	u.pollOverdue(now)
 	u.evacuateDraining(now)
 	u.resendStops(now)
