The name of a member of the group is drawn at random

Cause: the name was made of the address and the millisecond of the start, by a clock that may be set back between two starts. With an equal name the store takes a daemon for its former process: it lists that one's units in its generation, so the daemon has the same epochs, and its appends count as repeats of that one's.

Evidence: TestIncarnationDoesntDependOnTheTimeOfDay, with the former name: --- FAIL, 1 name of 1000 starts at one time of day.

After: go test ./internal/fleetd passed.

--- a/internal/fleetd/daemon.go
+++ b/internal/fleetd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -122,7 +123,6 @@
 func New(s Settings, ports Ports, logger *zap.Logger) *Daemon {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	view := fleetview.New(ports.Decoders, ports.Clock, logger)
-	incarnation := strconv.FormatInt(time.Now().UnixMilli(), 36)
 	peers := ownerrpc.NewClient()
 	alive := func(ctx context.Context, address string) bool {
 		_, err := peers.Away(ctx, address)
@@ -131,12 +131,16 @@
 	d := &Daemon{settings: s, ports: ports, logger: logger, view: view, peers: peers, stopping: make(chan struct{})}
 	d.relay = &relay{ctx: context.Background(), candidates: d.relayCandidates, peers: peers, logger: logger}
 	d.log = store.Relay(ports.Log, d.relay.log)
-	d.member = ownership.New(d.log, ports.PeersListener.Addr().String(), incarnation, s.ProcessorShare, alive, ports.Clock, logger)
+	d.member = ownership.New(d.log, ports.PeersListener.Addr().String(), newIncarnation(), s.ProcessorShare, alive, ports.Clock, logger)
 	d.pools = unitmap.New(d.log, s.Units, logger)
 	d.member.InUse = d.pools.InUse
 	return d
 }
 
+// newIncarnation draws a name that distinguishes this process from former ones at its
+// address.
+func newIncarnation() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
 // relayCandidates returns the addresses of the daemons that may relay calls to the
 // store.
 func (d *Daemon) relayCandidates() []string { return d.member.Peers() }
