The time left at a lost instance is recorded right before an append

Cause: it was measured on a tick, and left out while an append was under way; of a pool with much to record one always is.

Change: measured in flush, once a tick at most.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -63,7 +63,11 @@
 // flush appends the changes to the store, unless an append is in flight.
 func (u *Unit) flush() {
 	c := &u.commit
-	if c.inFlight || len(c.dirty) == 0 && len(c.effects) == 0 && len(c.extraRecords) == 0 {
+	if c.inFlight {
+		return
+	}
+	u.renewLosses()
+	if len(c.dirty) == 0 && len(c.effects) == 0 && len(c.extraRecords) == 0 {
 		return
 	}
 	records, publishers := u.encodeDirty()
--- a/internal/owner/contact.go
+++ b/internal/owner/contact.go
@@ -107,12 +107,13 @@
 }
 
 // renewLosses records again how much time is left at instances out of contact, so that
-// successors wait for less. A record is made only when it can be stored at once: what it says
-// is counted from its storage on.
+// successors wait for less. It is called right before an append, since what a record says is
+// counted from its storage on, and measures once a tick.
 func (u *Unit) renewLosses() {
-	if u.commit.inFlight {
+	if !u.lossesDue {
 		return
 	}
+	u.lossesDue = false
 	for _, sess := range u.sessions {
 		if !sess.lossRecorded || sess.clearingLoss || len(sess.runs) == 0 {
 			continue
--- a/internal/owner/unit.go
+++ b/internal/owner/unit.go
@@ -121,6 +121,9 @@
 	// end are removed by the next round.
 	active   map[string]*entry
 	sessions map[string]*session
+	// lossesDue: a tick has passed since the time left at instances out of contact was
+	// measured.
+	lossesDue bool
 	// contactLosses are the instances that the store records as out of contact.
 	contactLosses map[string]contactLoss
 	// earlyCancels holds the IDs of jobs whose cancellation was read before their
@@ -304,7 +307,7 @@
 	now := time.Now()
 	u.syncSessions(now)
 	u.expireLeases(now)
-	u.renewLosses()
+	u.lossesDue = true
 	u.pollOverdue(now)
 	u.evacuateDraining(now)
 	u.resendStops(now)
