Soak: daemons' clocks are stepped while their owners restart beside a cut

The soak builds the daemon with a time.Now that is off by a step, read from a pipe; neither the product nor the machine's clock is touched. Each seed cuts an instance off, sets the owner's clock one way and the others' the other way (4 to 8 s apart) and kills owners in turn: once beside the other faults, once after them. -source builds the daemon of another tree, in place of -daemon. A fault of a link that a cut hides is waited for.

A timed task may start 5 s earlier while clocks are off, as on the platform, and 5 s after.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -25,6 +25,9 @@
 	failedRuns map[job.TaskID]map[int]bool
 	// drainingSince is when the first instance began to drain.
 	drainingSince time.Time
+	// clocksOff tells whether daemons' clocks are off, and clocksChangedAt since when it does.
+	clocksOff       bool
+	clocksChangedAt time.Time
 	// teamCPU is what the team has running.
 	teamCPU int
 	// violations holds the broken promises, each with its time since the start.
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -20,6 +20,8 @@
 	begin      func()
 	effect     func() bool
 	end        func()
+	// hidden reports whether another fault keeps it from having an effect; nil if none can.
+	hidden func() bool
 }
 
 // drainingInstance is the index of the instance that drains for good; no other fault
@@ -45,9 +47,10 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	var rounds, deals, outage []string
+	var rounds, deals, clocks, outage []string
 	wg.Go(func() { rounds = h.restartsInSeries(ctx) })
 	wg.Go(func() { deals = h.dealAnewInSeries(ctx) })
+	wg.Go(func() { clocks = h.clocksApartBesideOthers(ctx) })
 	if h.seed%seedsPerOutage == 0 {
 		wg.Go(func() { outage = h.outageOfAll(ctx) })
 	}
@@ -59,7 +62,7 @@
 		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
-	return slices.Concat(schedule, rounds, deals, outage)
+	return slices.Concat(schedule, rounds, deals, clocks, outage, h.clocksApartAlone())
 }
 
 func (h *harness) inject(ctx context.Context, f fault, duration time.Duration) {
@@ -67,6 +70,9 @@
 	f.begin()
 	pause.For(ctx, duration)
 	for end := time.Now().Add(effectTimeout); !f.effect() && time.Now().Before(end); {
+		if f.hidden != nil && f.hidden() {
+			end = time.Now().Add(effectTimeout)
+		}
 		time.Sleep(effectInterval)
 	}
 	if f.effect() {
@@ -221,7 +227,8 @@
 			each((*proxy).setIfPassing)
 			return affected() > before
 		},
-		end: func() { each((*proxy).unset) },
+		end:    func() { each((*proxy).unset) },
+		hidden: func() bool { return slices.ContainsFunc(links, (*proxy).cutOff) },
 	}
 }
 
--- a/tools/soak/judges.go
+++ b/tools/soak/judges.go
@@ -36,12 +36,14 @@
 	judgeAckedAfterRestart judge = "no run after an end acknowledged to a restarted instance"
 	judgeRestarted         judge = "one run across restarts"
 	judgeLongRunning       judge = "long-running tasks run"
+	// judgeClocks is judgeOneRun for runs that lapsed behind a cut while clocks were apart.
+	judgeClocks judge = "one run across owners whose clocks are apart"
 )
 
 var allJudges = []judge{
 	judgeOneRun, judgeAcked, judgeRefused, judgeCancelled, judgeOrder, judgeDue, judgeCapacity, judgeLabel, judgePerServer,
 	judgeTeam, judgeAttempts, judgeStates, judgeKnown, judgeRepeated, judgeMoved, judgeDrain, judgeKey, judgeEnds,
-	judgeAckedAfterRestart, judgeRestarted, judgeLongRunning,
+	judgeAckedAfterRestart, judgeRestarted, judgeLongRunning, judgeClocks,
 }
 
 // Floors of a seed's work, below which it has shown nothing.
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strconv"
@@ -40,7 +39,7 @@
 	flag.IntVar(&o.parallel, "parallel", 3, "number of seeds that run at a time")
 	flag.StringVar(&o.dir, "dir", "", "directory for settings and logs; a temporary one by default")
 	flag.BoolVar(&o.allJudges, "all-judges", false, "fail if a judge has nothing to judge in all seeds together")
-	flag.StringVar(&o.binary, "daemon", "", "the daemon's program; built from the sources by default")
+	flag.StringVar(&o.source, "source", ".", "the source tree whose daemon is built, to try an earlier version")
 	largest := flag.String("largest", "", `a large job beside the others: "large", or "at the limit" of what the product accepts`)
 	flag.Parse()
 	o.largest = jobKind(*largest)
@@ -49,10 +48,11 @@
 
 // options are the command's flags.
 type options struct {
-	length    time.Duration
-	parallel  int
-	dir       string
-	binary    string
+	length   time.Duration
+	parallel int
+	dir      string
+	// source is the tree whose daemon is built.
+	source    string
 	allJudges bool
 	// settle is how long accepted jobs may take after the last fault.
 	settle time.Duration
@@ -91,12 +91,10 @@
 			return 2
 		}
 	}
-	if o.binary == "" {
-		o.binary = filepath.Join(o.dir, "beryltided")
-		if out, err := exec.Command("go", "build", "-o", o.binary, "./cmd/beryltided").CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "soak: build: %s\n", out)
-			return 2
-		}
+	binary := filepath.Join(o.dir, "beryltided")
+	if err := buildDaemon(o.source, binary); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return 2
 	}
 	shutDownOnSignal()
 	var wg sync.WaitGroup
@@ -107,7 +105,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			report, n, ok := runSeed(o, seed, filepath.Join(o.dir, fmt.Sprint(seed)), o.binary)
+			report, n, ok := runSeed(o, seed, filepath.Join(o.dir, fmt.Sprint(seed)), binary)
 			mu.Lock()
 			defer mu.Unlock()
 			fmt.Print(report)
--- a/tools/soak/processes.go
+++ b/tools/soak/processes.go
@@ -28,6 +28,8 @@
 	// life is the newest start that succeeded; nil before the first. Faults read it
 	// while another one restarts the process.
 	life atomic.Pointer[life]
+	// clockStep is by how many seconds the process's time of day is off.
+	clockStep atomic.Int64
 	// mu lets only one fault at a time restart the process.
 	mu sync.Mutex
 }
@@ -39,6 +41,8 @@
 	done chan struct{}
 	// toEnd is set before a signal that ends the process.
 	toEnd atomic.Bool
+	// steps is the writing end of the process's stepsFD.
+	steps *os.File
 }
 
 func (p *process) start(binary string) error {
@@ -46,7 +50,15 @@
 	l.cmd.Stdout, l.cmd.Stderr = p.logFile, p.logFile
 	// The daemon ends with the soak, however that ends.
 	l.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	steps, write, err := os.Pipe()
+	if err != nil {
+		return errors.Wrap(err, p.name)
+	}
+	defer func() { _ = steps.Close() }()
+	l.steps, l.cmd.ExtraFiles = write, []*os.File{stepsFD - 3: steps}
+	l.step(p.clockStep.Load())
 	if err := l.cmd.Start(); err != nil {
+		_ = write.Close()
 		return errors.Wrap(err, p.name)
 	}
 	p.life.Store(l)
@@ -61,6 +73,7 @@
 	if !l.toEnd.Load() {
 		p.checker.report("%s ended by itself (%v): %s", p.name, err, p.lastLine())
 	}
+	_ = l.steps.Close()
 	close(l.done)
 }
 
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -44,6 +44,8 @@
 	mode     mode
 	// cutMode, unless it is pass, takes the place of mode.
 	cutMode mode
+	// isolated takes the place of both: it is silent.
+	isolated bool
 	// conns holds the open connections; those that are stranded have the value false.
 	conns map[net.Conn]bool
 	// darkUntil is until when new connections get no answer; they are closed then.
@@ -72,12 +74,22 @@
 
 // effective returns the mode in force. The caller holds p.mu.
 func (p *proxy) effective() mode {
+	if p.isolated {
+		return silent
+	}
 	if p.cutMode != pass {
 		return p.cutMode
 	}
 	return p.mode
 }
 
+// cutOff reports whether a cut takes the place of the mode that is set.
+func (p *proxy) cutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isolated || p.cutMode != pass
+}
+
 // affectedBy returns how often a mode concerned a connection or data.
 func (p *proxy) affectedBy(m mode) int {
 	p.mu.Lock()
@@ -97,6 +109,9 @@
 // cut puts another mode in place of the one that is set, until it is pass.
 func (p *proxy) cut(m mode) { p.change(func() { p.cutMode = m }) }
 
+// isolate makes the proxy silent, whatever else is set, or ends that.
+func (p *proxy) isolate(on bool) { p.change(func() { p.isolated = on }) }
+
 // change changes a mode. It closes the connections that held data back, so that these
 // data are lost.
 func (p *proxy) change(do func()) {
--- a/tools/soak/starts.go
+++ b/tools/soak/starts.go
@@ -77,7 +77,7 @@
 	}
 	if due := rec.due(id.Occurrence); !due.IsZero() {
 		c.counts.exercised[judgeDue]++
-		if early := time.Until(due); early > earlyStart {
+		if early := time.Until(due); early > c.earlyAllowed() {
 			c.violation("%v run %d at %s: due only in %s", id, run, at.id, early)
 		}
 	}
