A job that has used up its attempts is failed at a takeover, if that wasn't stored

What callers would see: a job that runs on after a task or gang of it has failed max_attempts times.

Cause: the progress of a job of more than 256 tasks is stored in parts and a head, in several appends if it is long. The parts hold the failures, the head that the job has failed. An owner that ends between them leaves a task that has used up its attempts and a job that goes on: the end is listed again, but its run isn't the present one any more and isn't counted.

Change: the number of failures decides after a restore, by the job's own limit. Jobs without one, stored by an earlier version, are left as they are: their queue's limit may not be known yet.

Evidence: TestJobWithoutAttemptsLeftEndsAtATakeover, before: running != failed.

After: go test ./internal/job ./internal/owner passed.

--- a/internal/job/restore.go
+++ b/internal/job/restore.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,21 @@
 	return nil
 }
 
+// FailIfExhausted fails a restored job of which a task or gang has failed as often as it may:
+// the head says so only if it was stored after the parts. It reports whether the job has
+// changed.
+func (j *Job) FailIfExhausted(maxFailures int) bool {
+	if !j.Active() || maxFailures <= 0 {
+		return false
+	}
+	j.EachOccurrence(func(o *Occurrence) {
+		for _, tasks := range o.Steps {
+			j.failed = j.failed || slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase != Done && t.Failures >= maxFailures })
+		}
+	})
+	return j.failed
+}
+
 func (j *Job) restoreOccurrence(r *progressRecord, stored occurrenceRecord, now time.Time) error {
 	o := j.newOccurrence(stored.Number, now)
 	j.occurrences[stored.Number] = o
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -155,6 +155,11 @@
 	}
 	e.recordedState = e.job.State()
 	e.startRecorded = e.job.Started()
+	// Without a number of its own the job's is that of its queue, which may not be known yet.
+	if limit := e.job.Submission.MaxFailures; limit > 0 && e.job.FailIfExhausted(limit) {
+		u.Logger.Info("job.exhausted_at_takeover", zap.String("job", e.job.ID()))
+		u.markDirty(e)
+	}
 	if e.job.Finished() {
 		e.finishedAt = now
 	}
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -71,3 +71,48 @@
 		is.Equal(len(c.startsOf(jobA)), 0)
 	})
 }
+
+// Guards against a task that is started more often than its job allows: its owner ended
+// between two appends, which stored the task's last failure without the end of the job.
+func TestJobWithoutAttemptsLeftEndsAtATakeover(t *testing.T) {
+	inVirtualTime(t, 2, func(c *cluster, is *is.I) {
+		s := &job.Submission{ID: jobA, Queue: testQueue, Pool: testPool, Steps: []job.Step{smallStep(300)}, MaxFailures: 2, AcceptedAt: time.Now().UnixMilli()}
+		data, err := job.EncodeSubmission(s)
+		is.NoErr(err)
+		c.append(SubmissionPrefix+jobA, data)
+		j := job.New(s)
+		j.Advance(time.Now())
+		id := job.TaskID{Job: jobA}
+		j.Place(job.TaskID{Job: jobA, Index: 299}, 1, job.Placement{Instance: "i-0", Incarnation: 1, Bound: true})
+		for run := range s.MaxFailures {
+			j.Place(id, run+1, job.Placement{Instance: "i-0", Incarnation: 1, Bound: true})
+			c.storeProgress(j.Records(1 << 16))
+			j.Ended(id, run+1, job.EndFailed, "", s.MaxFailures, time.Now())
+		}
+		is.Equal(j.State(), job.Failed)
+		c.storeProgress(j.Records(1 << 16)[:1]) // the head isn't stored
+		d := c.startOwner(64)
+		time.Sleep(2 * time.Second)
+		is.Equal(d.state(jobA), job.Failed)
+		is.Equal(len(c.startsOf(jobA)), 0)
+		d.unit.Stop()
+		is.Equal(c.startOwner(128).stateAfter(time.Second, jobA), job.Failed) // it is stored
+	})
+}
+
+// storeProgress stores records of jobA's progress.
+func (c *cluster) storeProgress(records []job.Record) {
+	for _, r := range records {
+		key := progressPrefix + jobA
+		if r.Part != "" {
+			key += partSeparator + r.Part
+		}
+		c.append(key, r.Value)
+	}
+}
+
+// stateAfter returns the state of a job after a time.
+func (d *daemon) stateAfter(wait time.Duration, id string) job.State {
+	time.Sleep(wait)
+	return d.state(id)
+}
