A gang is restored as done if one of its members is

What callers would see: a job that never ends.

Cause: the end of one member, done, represents its gang. Members in different parts of the stored progress (more than 256 tasks) may be stored in several appends; an owner that ends between them leaves some done and others waiting. If the instances of these restart before they list their ends, the rest of the gang waits for a run that is never complete.

Change: Restore marks all members of such a gang as done.

--- a/internal/job/restore.go
+++ b/internal/job/restore.go
@@ -29,6 +29,7 @@
 		}
 	}
 	for number, o := range j.occurrences {
+		j.completeGangs(o)
 		if o.remaining == 0 {
 			// Its parts were stored, the head that counts it wasn't.
 			delete(j.occurrences, number)
@@ -53,6 +54,16 @@
 	return j.failed
 }
 
+// completeGangs marks all members of a gang as done of which one is, as they were when the
+// parts of some were stored and those of others weren't yet.
+func (j *Job) completeGangs(o *Occurrence) {
+	for number, tasks := range o.Steps {
+		if j.Submission.Steps[number].Gang && slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase == Done }) {
+			j.finishGang(o, number)
+		}
+	}
+}
+
 func (j *Job) restoreOccurrence(r *progressRecord, stored occurrenceRecord, now time.Time) error {
 	o := j.newOccurrence(stored.Number, now)
 	j.occurrences[stored.Number] = o
