--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -23,6 +23,8 @@
 	// failedRuns holds the run numbers that ended failed, by task or gang, and
 	// whether the end has been acknowledged.
 	failedRuns map[job.TaskID]map[int]bool
+	// failedMembers counts by job and run the members of a gang that ended failed.
+	failedMembers map[string]map[int]int
 	// drainingSince is when the first instance began to drain.
 	drainingSince time.Time
 	// clocksOff tells whether daemons' clocks are off, and clocksChangedAt since when it does.
@@ -57,7 +59,7 @@
 func newChecker() *checker {
 	return &checker{
 		jobs: map[string]*jobRecord{}, runsOf: map[job.TaskID]map[string]*observedRun{}, acknowledgedAt: map[job.TaskID]time.Time{},
-		failedRuns: map[job.TaskID]map[int]bool{}, startedAt: time.Now(),
+		failedRuns: map[job.TaskID]map[int]bool{}, failedMembers: map[string]map[int]int{}, startedAt: time.Now(),
 		counts: counts{kinds: map[jobKind]int{}, drawn: map[string]int{}, effective: map[string]int{}, exercised: map[judge]int{}},
 	}
 }
@@ -206,6 +208,12 @@
 func (c *checker) failed(id job.TaskID, run int, acknowledged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if rec := c.jobs[id.Job]; rec != nil && rec.kind == failingGang && !acknowledged {
+		if c.failedMembers[id.Job] == nil {
+			c.failedMembers[id.Job] = map[int]int{}
+		}
+		c.failedMembers[id.Job][run]++
+	}
 	id = c.attemptKey(id)
 	if c.failedRuns[id] == nil {
 		c.failedRuns[id] = map[int]bool{}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -47,9 +47,10 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.changeOnce(ctx) })
 	wg.Go(func() { h.cutWithManyEnds(ctx) })
-	var rounds, deals, clocks, outage []string
+	var rounds, deals, clocks, failing, outage []string
 	wg.Go(func() { rounds = h.restartsInSeries(ctx) })
 	wg.Go(func() { deals = h.dealAnewInSeries(ctx) })
+	wg.Go(func() { failing = h.gangsFailInSeries(ctx) })
 	wg.Go(func() { clocks = h.clocksApartBesideOthers(ctx) })
 	if h.seed%seedsPerOutage == 0 {
 		wg.Go(func() { outage = h.outageOfAll(ctx) })
@@ -62,7 +63,7 @@
 		pause.For(ctx, time.Duration(200+random.IntN(2500))*time.Millisecond)
 	}
 	wg.Wait()
-	return slices.Concat(schedule, rounds, deals, clocks, outage, h.clocksApartAlone())
+	return slices.Concat(schedule, rounds, deals, clocks, failing, outage, h.clocksApartAlone())
 }
 
 func (h *harness) inject(ctx context.Context, f fault, duration time.Duration) {
--- a/tools/soak/gangs.go
+++ b/tools/soak/gangs.go
@@ -13,8 +13,10 @@
 // gangs holds the runs of gangs at all instances: the members work from the moment when
 // all of them are present, and end together.
 type gangs struct {
-	mu   sync.Mutex
-	runs map[gangRun]*gangState
+	// firstFailed is called with the job of each first end failed of a gang's run.
+	firstFailed func(*jobPlan)
+	mu          sync.Mutex
+	runs        map[gangRun]*gangState
 }
 
 // gangRun names a run of a gang: a task with index 0, and the number of the run.
@@ -29,6 +31,8 @@
 	completeAt time.Time
 	// broken means that a member ended otherwise than by itself.
 	broken bool
+	// failed means that a member has ended failed.
+	failed bool
 }
 
 func (g *gangs) of(r *taskRun) *gangState {
@@ -63,6 +67,13 @@
 	defer g.mu.Unlock()
 	s := g.of(r)
 	s.present--
+	if how == job.EndFailed && !s.failed {
+		s.failed = true
+		g.firstFailed(r.plan)
+	}
+	if how == job.EndBroken && r.fails() {
+		return // the others end as planned
+	}
 	s.broken = s.broken || how != job.EndDone && how != job.EndFailed
 }
 
@@ -72,7 +83,7 @@
 	defer g.mu.Unlock()
 	s := g.of(r)
 	switch {
-	case !s.completeAt.IsZero() && time.Since(s.completeAt) >= runTime:
+	case !s.completeAt.IsZero() && time.Since(s.completeAt) >= runTime+r.endsLater():
 		return r.outcome()
 	case s.broken:
 		return job.EndBroken
--- a/tools/soak/harness.go
+++ b/tools/soak/harness.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	h.operator.apply(func() {})
-	all := &gangs{runs: map[gangRun]*gangState{}}
+	all := &gangs{runs: map[gangRun]*gangState{}, firstFailed: h.onGangFailure}
 	for n := range instanceCount {
 		if err := h.addInstance(n, all, runTime); err != nil {
 			return h, err
--- a/tools/soak/instances.go
+++ b/tools/soak/instances.go
@@ -93,12 +93,27 @@
 	return int(100 * time.Since(r.startedAt) / r.duration(runTime))
 }
 
+// fails reports whether the run is one that fails; of a gang, some of its members may end
+// broken then.
+func (r *taskRun) fails() bool { return r.run <= r.plan.failures }
+
+// endsLater returns how much later than the first member of its gang the run ends.
+func (r *taskRun) endsLater() time.Duration {
+	if r.plan.failing == nil || !r.fails() {
+		return 0
+	}
+	return r.plan.failing.apart * time.Duration(r.id.Index) / time.Duration(max(r.step().count-1, 1))
+}
+
 // outcome returns how the run ends by itself.
 func (r *taskRun) outcome() job.End {
-	if r.run <= r.plan.failures {
-		return job.EndFailed
+	switch {
+	case !r.fails():
+		return job.EndDone
+	case r.plan.failing != nil && r.id.Index%r.plan.failing.failEach > 0:
+		return job.EndBroken
 	}
-	return job.EndDone
+	return job.EndFailed
 }
 
 // runEnd is the end of a run, as listed by hold until it is acknowledged.
--- a/tools/soak/jobs.go
+++ b/tools/soak/jobs.go
@@ -73,6 +73,8 @@
 	interval    time.Duration
 	// failures is how many runs of each task, or of a gang, fail before one is done.
 	failures int
+	// failing is how the runs of a failing gang end; nil for other jobs.
+	failing *failingPlan
 	// runTime is how long the tasks run, if not as long as the seed's others.
 	runTime time.Duration
 }
--- a/tools/soak/judges.go
+++ b/tools/soak/judges.go
@@ -38,12 +38,14 @@
 	judgeLongRunning       judge = "long-running tasks run"
 	// judgeClocks is judgeOneRun for runs that lapsed behind a cut while clocks were apart.
 	judgeClocks judge = "one run across owners whose clocks are apart"
+	// judgeGangs is judgeAttempts for gangs of which several members failed in one run.
+	judgeGangs judge = "a gang's run counts once"
 )
 
 var allJudges = []judge{
 	judgeOneRun, judgeAcked, judgeRefused, judgeCancelled, judgeOrder, judgeDue, judgeCapacity, judgeLabel, judgePerServer,
 	judgeTeam, judgeAttempts, judgeStates, judgeKnown, judgeRepeated, judgeMoved, judgeDrain, judgeKey, judgeEnds,
-	judgeAckedAfterRestart, judgeRestarted, judgeLongRunning, judgeClocks,
+	judgeAckedAfterRestart, judgeRestarted, judgeLongRunning, judgeClocks, judgeGangs,
 }
 
 // Floors of a seed's work, below which it has shown nothing.
