--- a/tools/soak/clockseries.go
+++ b/tools/soak/clockseries.go
@@ -92,8 +92,8 @@
 	return schedule
 }
 
-// playClocks plays one round. It reports whether runs that were under way ended with their
-// lease after an owner was killed.
+// playClocks plays one round, unless nothing runs at the instance. It reports whether runs that
+// were under way ended with their lease after an owner was killed.
 func (h *harness) playClocks(r *clockRound) bool {
 	i, link := h.instances[r.instance], h.instanceProxies[r.instance]
 	submitting, stop := context.WithCancel(context.Background())
@@ -105,8 +105,12 @@
 	pause.For(submitting, longJobsLead+noticeTime)
 
 	r.began = time.Now()
-	link.isolate(true)
 	underWay := i.runsSince(since)
+	if len(underWay) == 0 {
+		r.shown = "nothing ran there"
+		return false
+	}
+	link.isolate(true)
 	pause.For(submitting, stepsAfter)
 	h.checker.clocksStepped(true)
 	owner := h.ownerOf(r.pool)
